--- /dev/null
+++ b/Libraries/LibAdmission/WeightedQueue.cpp
@@ -0,0 +1,181 @@
+#include <LibAdmission/WeightedQueue.h>
+
+#include <algorithm>
+
+namespace Admission {
+
+namespace {
+
+/** Assumed until services have been seen. */
+constexpr Core::Duration kFirstService = std::chrono::milliseconds(2);
+/** How much one service moves the mean. */
+constexpr int kServiceSmoothing = 16;
+
+} // namespace
+
+WeightedQueue::WeightedQueue(const QueueLimits& aLimits)
+  : limits_(aLimits)
+  , meanService_(kFirstService)
+{
+}
+
+std::optional<Refusal>
+WeightedQueue::Offer(const Ticket& aTicket, Core::Instant aNow)
+{
+  const Core::Duration wait = ExpectedWait(aTicket.kind, aTicket.weight);
+  if (aNow + wait + meanService_ > aTicket.deadline)
+    return Refusal{ aTicket.number, wait };
+  std::optional<Refusal> displaced;
+  if (length_ >= limits_.longest) {
+    displaced = Displace(aTicket);
+    if (!displaced)
+      return Refusal{ aTicket.number, wait };
+  }
+  Insert(aTicket);
+  return displaced;
+}
+
+void
+WeightedQueue::Insert(const Ticket& aTicket)
+{
+  Kind& kind = kinds_[aTicket.kind];
+  kind.weight = std::max<std::int64_t>(1, aTicket.weight);
+  // A kind that comes back gets no credit for the time that it was away.
+  if (kind.waiting.empty())
+    kind.pass = std::max(kind.pass, currentPass_);
+  const auto place =
+    std::upper_bound(kind.waiting.begin(),
+                     kind.waiting.end(),
+                     aTicket.deadline,
+                     [](Core::Instant aDeadline, const Waiting& aWaiting) {
+                       return aDeadline < aWaiting.ticket.deadline;
+                     });
+  kind.waiting.insert(place, { aTicket, ++arrivals_ });
+  ++length_;
+}
+
+std::map<std::string, WeightedQueue::Kind>::iterator
+WeightedQueue::FindNext()
+{
+  const bool byArrival = limits_.order == QueueOrder::Arrival;
+  const auto rank = [byArrival](const Kind& aKind) {
+    return byArrival ? static_cast<double>(aKind.waiting.front().arrival)
+                     : aKind.pass;
+  };
+  auto best = kinds_.end();
+  for (auto kind = kinds_.begin(); kind != kinds_.end(); ++kind) {
+    if (kind->second.waiting.empty())
+      continue;
+    if (best == kinds_.end() || rank(kind->second) < rank(best->second))
+      best = kind;
+  }
+  return best;
+}
+
+std::optional<Ticket>
+WeightedQueue::Next()
+{
+  const auto found = FindNext();
+  if (found == kinds_.end())
+    return std::nullopt;
+  Kind& kind = found->second;
+  const Ticket ticket = kind.waiting.front().ticket;
+  kind.waiting.pop_front();
+  --length_;
+  currentPass_ = kind.pass;
+  kind.pass += 1.0 / static_cast<double>(kind.weight);
+  return ticket;
+}
+
+std::optional<Refusal>
+WeightedQueue::Displace(const Ticket& aTicket)
+{
+  auto lightest = kinds_.end();
+  for (auto kind = kinds_.begin(); kind != kinds_.end(); ++kind) {
+    if (kind->second.waiting.empty() || kind->second.weight >= aTicket.weight)
+      continue;
+    if (lightest == kinds_.end() ||
+        kind->second.weight < lightest->second.weight)
+      lightest = kind;
+  }
+  if (lightest == kinds_.end() || limits_.order == QueueOrder::Arrival)
+    return std::nullopt;
+  // The one with the latest deadline has the best chance elsewhere.
+  Kind& kind = lightest->second;
+  const Ticket shed = kind.waiting.back().ticket;
+  kind.waiting.pop_back();
+  --length_;
+  return Refusal{ shed.number, ExpectedWait(shed.kind, shed.weight) };
+}
+
+std::vector<Refusal>
+WeightedQueue::Expire(Core::Instant aNow)
+{
+  std::vector<Refusal> refusals;
+  for (auto& [name, kind] : kinds_) {
+    while (!kind.waiting.empty() &&
+           kind.waiting.front().ticket.deadline <= aNow) {
+      refusals.push_back({ kind.waiting.front().ticket.number,
+                           ExpectedWait(name, kind.weight) });
+      kind.waiting.pop_front();
+      --length_;
+    }
+  }
+  return refusals;
+}
+
+bool
+WeightedQueue::Remove(std::uint64_t aNumber)
+{
+  for (auto& [name, kind] : kinds_) {
+    const auto found = std::find_if(kind.waiting.begin(),
+                                    kind.waiting.end(),
+                                    [aNumber](const Waiting& aWaiting) {
+                                      return aWaiting.ticket.number == aNumber;
+                                    });
+    if (found == kind.waiting.end())
+      continue;
+    kind.waiting.erase(found);
+    --length_;
+    return true;
+  }
+  return false;
+}
+
+void
+WeightedQueue::RecordService(Core::Duration aTime)
+{
+  meanService_ += (aTime - meanService_) / kServiceSmoothing;
+}
+
+Core::Duration
+WeightedQueue::ExpectedWait(const std::string& aKind,
+                            std::int64_t aWeight) const
+{
+  std::size_t ahead = length_;
+  if (limits_.order == QueueOrder::Weighted) {
+    std::int64_t activeWeight = aWeight;
+    std::size_t own = 0;
+    for (const auto& [name, kind] : kinds_) {
+      if (name == aKind)
+        own = kind.waiting.size();
+      else if (!kind.waiting.empty())
+        activeWeight += kind.weight;
+    }
+    // The kind's own line moves at its share of the slots.
+    const auto share =
+      static_cast<std::size_t>(static_cast<std::int64_t>(own) * activeWeight /
+                               std::max<std::int64_t>(1, aWeight));
+    ahead = std::min(ahead, share);
+  }
+  return WaitBehind(ahead);
+}
+
+Core::Duration
+WeightedQueue::WaitBehind(std::size_t aAhead) const
+{
+  return meanService_ * static_cast<std::int64_t>(aAhead) /
+         static_cast<std::int64_t>(std::max<std::size_t>(1, limits_.slots));
+}
+
+} // namespace Admission
--- /dev/null
+++ b/Libraries/LibAgent/AgentServer.cpp
@@ -0,0 +1,420 @@
+#include <LibAgent/AgentServer.h>
+
+#include "GroupWatcher.h"
+#include "OperatorInterface.h"
+#include "PeerSpread.h"
+
+#include <LibCore/Log.h>
+#include <LibEndpoint/HttpEndpointLink.h>
+#include <LibMembership/Rendezvous.h>
+#include <LibWire/FieldReader.h>
+#include <LibWire/Secret.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Agent {
+
+using Wire::HttpAnswer;
+using Wire::HttpMethod;
+using Wire::HttpReplyHandle;
+using Wire::HttpRequest;
+using Wire::HttpStatus;
+
+namespace {
+
+/** How often time alone is checked for changes, such as staleness. */
+constexpr Core::Duration kTick = std::chrono::milliseconds(100);
+/** How long a leaving member's word may take to get round. */
+constexpr Core::Duration kLeaveTime = std::chrono::milliseconds(400);
+constexpr Core::Duration kOpinionTimeout = std::chrono::milliseconds(300);
+/** Members asked for a second opinion. */
+constexpr std::size_t kOpinions = 3;
+constexpr Core::Duration kRecordRetry = std::chrono::seconds(2);
+constexpr int kMostRecordTries = 1800;
+constexpr int kOwnerDigits = 12;
+
+std::int64_t
+WallClockMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+/** Gives the group watchers what they need of the agent. */
+class AgentServer::Host final : public WatcherHost
+{
+public:
+  explicit Host(AgentServer& aAgent)
+    : agent_(aAgent)
+  {
+  }
+
+  std::unique_ptr<Endpoint::EndpointLink> MakeLink(
+    const Membership::Database& aDatabase) override
+  {
+    return std::make_unique<Endpoint::HttpEndpointLink>(
+      agent_.loop_,
+      agent_.client_,
+      aDatabase.address,
+      agent_.settings_.Text("node.name"));
+  }
+
+  void AskOpinions(const std::string& aGroup,
+                   const std::string& aDatabase,
+                   OpinionsCallback aCallback) override
+  {
+    agent_.AskOpinions(aGroup, aDatabase, std::move(aCallback));
+  }
+
+  std::string NewOwner() override
+  {
+    return agent_.settings_.Text("node.name") + '#' +
+           agent_.random_.Hex(kOwnerDigits);
+  }
+
+  void RecordPromotion(const std::string& aGroup,
+                       const Failover::Promotion& aPromotion,
+                       Failover::Trouble aTrouble) override
+  {
+    agent_.Record("promotion-" + aGroup + '-' +
+                    std::to_string(aPromotion.Options().term),
+                  { { "what", "promotion" },
+                    { "group", aGroup },
+                    { "term", aPromotion.Options().term },
+                    { "primary", aPromotion.Chosen() },
+                    { "author", aPromotion.Options().owner },
+                    { "reason", Failover::kTroubleNames.NameOf(aTrouble) } },
+                  0);
+  }
+
+private:
+  AgentServer& agent_;
+};
+
+AgentServer::AgentServer(Core::Loop& aLoop,
+                         const Settings::ProcessSettings& aSettings)
+  : loop_(aLoop)
+  , settings_(aSettings)
+  , random_(Core::Random::FromSystem())
+  , client_(aLoop, aSettings.Text("node.name"))
+  , platform_(client_, aSettings.Address("platform.address"))
+  , store_(platform_, &WallClockMs)
+  , host_(std::make_unique<Host>(*this))
+  , spread_(std::make_unique<PeerSpread>(aLoop,
+                                         aSettings,
+                                         client_,
+                                         store_,
+                                         platform_,
+                                         random_,
+                                         metrics_))
+  , operators_(
+      std::make_unique<OperatorInterface>(store_,
+                                          *spread_,
+                                          aSettings.Text("secrets.operators"),
+                                          [this] { return StatusJson(); }))
+  , server_(aLoop)
+{
+  spread_->OnChange([this] { Refresh(); });
+  AddRoutes();
+}
+
+AgentServer::~AgentServer() = default;
+
+bool
+AgentServer::Start(Core::LastReason& aReason)
+{
+  if (!server_.Listen(settings_.Address("agent.address"), aReason))
+    return false;
+  view_.agent = settings_.Text("node.name") + '#' + random_.Hex(kOwnerDigits);
+  spread_->Start();
+  tick_ = loop_.Every(kTick, [this] { Tick(); });
+  return true;
+}
+
+void
+AgentServer::Stop()
+{
+  if (stopTimer_)
+    return;
+  Core::LogChange("stopping");
+  spread_->Leave();
+  Refresh();
+  // The node's proxy still needs the view while it drains.
+  const Core::Duration wait =
+    kLeaveTime + spread_->Fleet().Milliseconds("shutdown.drain_ms");
+  stopTimer_ = loop_.After(wait, [this] { loop_.Stop(); });
+}
+
+void
+AgentServer::AddRoutes()
+{
+  const auto guard = [this](auto aMethod) {
+    return [this, aMethod](const HttpRequest& aRequest,
+                           const HttpReplyHandle& aReply) {
+      if (!Wire::IsBearerOf(aRequest.authorization,
+                            settings_.Text("secrets.peers"))) {
+        aReply->Send(HttpAnswer::Error(HttpStatus::Unauthorized,
+                                       "the peers' secret is wrong"));
+        return;
+      }
+      (this->*aMethod)(aRequest, aReply);
+    };
+  };
+  server_.Route(HttpMethod::Get, "/v1/view", guard(&AgentServer::GetView));
+  server_.Route(
+    HttpMethod::Post, "/v1/peer/opinion", guard(&AgentServer::GiveOpinion));
+  server_.Route(HttpMethod::Get,
+                "/metrics",
+                [this](const HttpRequest&, const HttpReplyHandle& aReply) {
+                  HttpAnswer answer;
+                  answer.status = static_cast<int>(HttpStatus::Ok);
+                  answer.body = metrics_.ToText();
+                  answer.contentType = "text/plain; version=0.0.4";
+                  aReply->Send(std::move(answer));
+                });
+  spread_->AddRoutes(server_);
+  operators_->AddRoutes(server_);
+}
+
+Membership::FleetView
+AgentServer::MakeView() const
+{
+  Membership::FleetView view;
+  view.revision = view_.revision;
+  view.agent = view_.agent;
+  view.isCurrent = spread_->IsCurrent();
+  view.configuration = spread_->Held();
+  view.members = spread_->Members().Working();
+  view.databases = spread_->List().databases;
+  return view;
+}
+
+void
+AgentServer::Refresh()
+{
+  Membership::FleetView next = MakeView();
+  const bool isSame = next.isCurrent == view_.isCurrent &&
+                      next.configuration == view_.configuration &&
+                      next.members == view_.members &&
+                      next.databases == view_.databases;
+  UpdateWatchers();
+  if (isSame)
+    return;
+  ++next.revision;
+  view_ = std::move(next);
+  Core::LogChange("view",
+                  { { "members", view_.members.size() },
+                    { "databases", view_.databases.size() },
+                    { "current", view_.isCurrent },
+                    { "configuration", view_.configuration.version } });
+  std::list<ViewPoller> pollers;
+  pollers.swap(pollers_);
+  for (const ViewPoller& poller : pollers)
+    poller.reply->Send(HttpAnswer::Json(HttpStatus::Ok, view_.ToJson()));
+}
+
+void
+AgentServer::GetView(const HttpRequest& aRequest, const HttpReplyHandle& aReply)
+{
+  const auto field = [&aRequest](const char* aName) {
+    const auto found = aRequest.query.find(aName);
+    return found == aRequest.query.end() ? std::string() : found->second;
+  };
+  // Nothing is worth telling before the list and a configuration are known.
+  const bool isReady =
+    !view_.databases.empty() && view_.configuration.version > 0;
+  const bool isKnown = field("agent") == view_.agent &&
+                       field("revision") == std::to_string(view_.revision);
+  if (isReady && !isKnown) {
+    aReply->Send(HttpAnswer::Json(HttpStatus::Ok, view_.ToJson()));
+    return;
+  }
+  pollers_.push_back({ aReply, {} });
+  const auto poller = std::prev(pollers_.end());
+  const Core::Duration wait =
+    std::chrono::milliseconds(std::atoll(field("wait_ms").c_str()));
+  poller->timer = loop_.After(wait, [this, poller, isReady] {
+    const HttpReplyHandle reply = poller->reply;
+    pollers_.erase(poller);
+    if (isReady)
+      reply->Send(HttpAnswer::Json(HttpStatus::Ok, view_.ToJson()));
+    else
+      reply->Send(
+        HttpAnswer::Error(HttpStatus::ServiceUnavailable, "not ready"));
+  });
+}
+
+void
+AgentServer::Tick()
+{
+  Refresh();
+}
+
+void
+AgentServer::UpdateWatchers()
+{
+  const auto working = spread_->Members().Working();
+  const auto watchers =
+    static_cast<std::size_t>(spread_->Fleet().Integer("detection.watchers"));
+  std::map<std::string, std::vector<Membership::Database>> groups;
+  for (const Membership::Database& database : spread_->List().databases)
+    groups[database.group].push_back(database);
+  std::erase_if(watchers_, [&groups](const auto& aEntry) {
+    return !groups.contains(aEntry.first);
+  });
+  for (const auto& [group, databases] : groups) {
+    const auto ranked = Membership::RankMembers(working, group);
+    const auto own = std::find_if(
+      ranked.begin(), ranked.end(), [this](const Membership::Member* aMember) {
+        return aMember->name == settings_.Text("node.name");
+      });
+    const auto rank = static_cast<std::size_t>(own - ranked.begin());
+    if (own == ranked.end() || rank >= watchers) {
+      watchers_.erase(group);
+      continue;
+    }
+    auto& watcher = watchers_[group];
+    if (!watcher || !watcher->IsFor(databases))
+      watcher = std::make_unique<GroupWatcher>(
+        loop_, *host_, group, settings_.Text("node.data_centre"), databases);
+    watcher->Update(databases, spread_->Fleet(), static_cast<int>(rank));
+  }
+}
+
+void
+AgentServer::AskOpinions(const std::string& aGroup,
+                         const std::string& aDatabase,
+                         OpinionsCallback aCallback)
+{
+  std::vector<Membership::Member> others =
+    spread_->Members().SomeOthers(spread_->List().members.size() + 1);
+  const bool othersExist = spread_->List().members.size() > 1;
+  const std::string ownCentre = settings_.Text("node.data_centre");
+  // Members elsewhere see over other links, so they are asked first.
+  std::stable_partition(
+    others.begin(), others.end(), [&](const Membership::Member& aMember) {
+      return aMember.dataCentre != ownCentre;
+    });
+  if (others.size() > kOpinions)
+    others.resize(kOpinions);
+  if (others.empty()) {
+    aCallback({}, othersExist);
+    return;
+  }
+  struct Poll
+  {
+    std::size_t left = 0;
+    std::vector<Failover::Opinion> opinions;
+    OpinionsCallback callback;
+  };
+  auto poll = std::make_shared<Poll>();
+  poll->left = others.size();
+  poll->callback = std::move(aCallback);
+  for (const Membership::Member& member : others) {
+    Wire::HttpCall call;
+    call.method = HttpMethod::Post;
+    call.target = "/v1/peer/opinion";
+    call.body = boost::json::serialize(
+      boost::json::object{ { "group", aGroup }, { "database", aDatabase } });
+    call.secret = settings_.Text("secrets.peers");
+    call.timeout = kOpinionTimeout;
+    client_.Call(member.agent,
+                 call,
+                 [poll, othersExist, dataCentre = member.dataCentre](
+                   const Wire::HttpOutcome& aOutcome) {
+                   Core::Findings findings;
+                   const auto body =
+                     aOutcome.IsOk()
+                       ? Wire::ParseObject(aOutcome.answer.body, findings)
+                       : std::nullopt;
+                   if (body) {
+                     Wire::FieldReader reader(*body, findings);
+                     poll->opinions.push_back(
+                       { dataCentre, reader.Boolean("silent", false) });
+                   }
+                   if (--poll->left == 0)
+                     poll->callback(poll->opinions, othersExist);
+                 });
+  }
+}
+
+void
+AgentServer::GiveOpinion(const HttpRequest& aRequest,
+                         const HttpReplyHandle& aReply)
+{
+  Core::Findings findings;
+  const auto body = Wire::ParseObject(aRequest.body, findings);
+  std::string name;
+  if (body) {
+    Wire::FieldReader reader(*body, findings);
+    name = reader.String("database");
+  }
+  const auto& databases = spread_->List().databases;
+  const auto database =
+    std::find_if(databases.begin(), databases.end(), [&name](const auto& aOne) {
+      return aOne.name == name;
+    });
+  if (!findings.IsEmpty() || database == databases.end()) {
+    aReply->Send(
+      HttpAnswer::Error(HttpStatus::BadRequest, "no database \"" + name + '"'));
+    return;
+  }
+  // A probe made for this question is worth more than an older one.
+  Endpoint::StatusQuestion question;
+  question.timeout = kOpinionTimeout * 2 / 3;
+  auto link =
+    std::shared_ptr<Endpoint::EndpointLink>(host_->MakeLink(*database));
+  link->AskStatus(
+    question,
+    [aReply, link](const std::optional<Endpoint::DatabaseReport>& aReport) {
+      aReply->Send(HttpAnswer::Json(
+        HttpStatus::Ok,
+        boost::json::object{ { "silent", !aReport.has_value() } }));
+    });
+}
+
+void
+AgentServer::Record(const std::string& aKeyEnd,
+                    const boost::json::object& aRecord,
+                    int aTries)
+{
+  if (aTries >= kMostRecordTries) {
+    metrics_.Count("audit_records_lost_total");
+    return;
+  }
+  store_.Record(aKeyEnd, aRecord, [this, aKeyEnd, aRecord, aTries](bool aKept) {
+    if (aKept)
+      return;
+    loop_.Defer(
+      [this, aKeyEnd, aRecord, aTries] {
+        Record(aKeyEnd, aRecord, aTries + 1);
+      },
+      kRecordRetry);
+  });
+}
+
+boost::json::object
+AgentServer::StatusJson() const
+{
+  boost::json::array members;
+  for (const Membership::MemberNews& news : spread_->Members().All())
+    members.push_back(boost::json::object{
+      { "name", news.member.name },
+      { "data_centre", news.member.dataCentre },
+      { "state", Membership::kMemberStateNames.NameOf(news.state) },
+      { "listed", Membership::kVmStateNames.NameOf(news.member.state) } });
+  boost::json::array groups;
+  for (const auto& [group, watcher] : watchers_)
+    groups.push_back(watcher->ToJson());
+  return { { "node", settings_.Text("node.name") },
+           { "current", spread_->IsCurrent() },
+           { "configuration_version", spread_->Held().version },
+           { "members", std::move(members) },
+           { "watched_groups", std::move(groups) } };
+}
+
+} // namespace Agent
--- /dev/null
+++ b/Libraries/LibAgent/GroupWatcher.cpp
@@ -0,0 +1,318 @@
+#include "GroupWatcher.h"
+
+#include <LibCore/Log.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Agent {
+
+using Failover::PromotionStep;
+using Failover::WatchStep;
+
+namespace {
+
+constexpr Core::Duration kTick = std::chrono::milliseconds(25);
+/** How long a promotion waits for answers beyond the majority. */
+constexpr Core::Duration kGrace = std::chrono::milliseconds(30);
+constexpr Core::Duration kOrderTimeout = std::chrono::milliseconds(250);
+/** Replicas, and all databases for a lower rank, are probed less often. */
+constexpr int kSlowProbe = 3;
+
+std::vector<std::string>
+NamesOf(const std::vector<Membership::Database>& aDatabases)
+{
+  std::vector<std::string> names;
+  names.reserve(aDatabases.size());
+  for (const Membership::Database& database : aDatabases)
+    names.push_back(database.name);
+  return names;
+}
+
+} // namespace
+
+GroupWatcher::GroupWatcher(Core::Loop& aLoop,
+                           WatcherHost& aHost,
+                           std::string aGroup,
+                           std::string aDataCentre,
+                           const std::vector<Membership::Database>& aDatabases)
+  : loop_(aLoop)
+  , host_(aHost)
+  , group_(std::move(aGroup))
+  , dataCentre_(std::move(aDataCentre))
+  , watch_(NamesOf(aDatabases), dataCentre_, settings_, aLoop.Now())
+  , tickTimer_(aLoop.Every(kTick, [this] { Tick(); }))
+{
+  for (const Membership::Database& database : aDatabases) {
+    databases_[database.name] = database;
+    links_[database.name] = aHost.MakeLink(database);
+  }
+  ProbeAll();
+}
+
+GroupWatcher::~GroupWatcher()
+{
+  *alive_ = false;
+}
+
+bool
+GroupWatcher::IsFor(const std::vector<Membership::Database>& aDatabases) const
+{
+  if (aDatabases.size() != databases_.size())
+    return false;
+  return std::all_of(
+    aDatabases.begin(), aDatabases.end(), [this](const auto& aDatabase) {
+      const auto found = databases_.find(aDatabase.name);
+      return found != databases_.end() &&
+             found->second.address == aDatabase.address;
+    });
+}
+
+void
+GroupWatcher::Update(const std::vector<Membership::Database>& aDatabases,
+                     const Settings::FleetSettings& aFleet,
+                     int aRank)
+{
+  const Settings::Scope scope{ group_, "", dataCentre_ };
+  settings_.suspect = aFleet.Milliseconds("detection.suspect_ms", scope);
+  settings_.probe = aFleet.Milliseconds("detection.probe_ms", scope);
+  settings_.rank = aRank;
+  watch_.SetSettings(settings_);
+  allowsMinority_ = aFleet.Boolean("writes.unsafe_promotion", scope);
+  std::set<std::string> leaving;
+  for (const Membership::Database& database : aDatabases) {
+    databases_[database.name] = database;
+    if (database.state == Membership::VmState::Leaving)
+      leaving.insert(database.name);
+  }
+  watch_.SetLeaving(std::move(leaving));
+}
+
+void
+GroupWatcher::ProbeAll()
+{
+  probeTimer_ = loop_.After(settings_.probe, [this] { ProbeAll(); });
+  const auto primary = watch_.Primary();
+  const bool isSlowTurn = ++probes_ % kSlowProbe == 0;
+  for (const auto& [name, database] : databases_) {
+    const bool isClose = settings_.rank == 0 && (!primary || *primary == name);
+    if (isClose || isSlowTurn)
+      ProbeOne(name);
+  }
+}
+
+void
+GroupWatcher::ProbeOne(const std::string& aDatabase)
+{
+  Endpoint::StatusQuestion question;
+  question.timeout = settings_.suspect;
+  links_.at(aDatabase)->AskStatus(
+    question,
+    [this, aDatabase, askedAt = loop_.Now(), alive = alive_](
+      const std::optional<Endpoint::DatabaseReport>& aReport) {
+      if (*alive && aReport)
+        watch_.OnReport(aDatabase, *aReport, askedAt, loop_.Now());
+    });
+}
+
+void
+GroupWatcher::Probe(const std::string& aDatabase,
+                    std::function<void(bool)> aCallback)
+{
+  const auto link = links_.find(aDatabase);
+  if (link == links_.end()) {
+    aCallback(false);
+    return;
+  }
+  Endpoint::StatusQuestion question;
+  question.timeout = settings_.suspect / 2;
+  link->second->AskStatus(
+    question,
+    [callback = std::move(aCallback)](
+      const std::optional<Endpoint::DatabaseReport>& aReport) {
+      callback(aReport.has_value());
+    });
+}
+
+void
+GroupWatcher::Tick()
+{
+  Do(watch_.Tick(loop_.Now()));
+  for (const Failover::RepointOrder& order : watch_.Repoint(loop_.Now()))
+    Follow(order.database, { order.term, order.owner }, order.primary);
+}
+
+void
+GroupWatcher::Do(const Failover::WatchAction& aAction)
+{
+  switch (aAction.step) {
+    case WatchStep::None:
+      return;
+    case WatchStep::AskOpinions:
+      host_.AskOpinions(
+        group_,
+        aAction.primary,
+        [this, alive = alive_](const std::vector<Failover::Opinion>& aOpinions,
+                               bool aOthersExist) {
+          if (*alive)
+            Do(watch_.OnOpinions(aOpinions, aOthersExist, loop_.Now()));
+        });
+      return;
+    case WatchStep::Promote:
+      StartPromotion(aAction);
+      return;
+  }
+}
+
+void
+GroupWatcher::StartPromotion(const Failover::WatchAction& aAction)
+{
+  Failover::PromotionOptions options;
+  options.term = aAction.term;
+  options.owner = host_.NewOwner();
+  options.preferred = aAction.primary;
+  options.allowsMinority = allowsMinority_;
+  std::vector<std::string> names;
+  for (const auto& [name, database] : databases_) {
+    names.push_back(name);
+    if (database.state == Membership::VmState::Leaving)
+      options.leaving.insert(name);
+  }
+  ++round_;
+  trouble_ = aAction.trouble;
+  Core::LogChange("promoting",
+                  { { "group", group_ },
+                    { "term", options.term },
+                    { "why", Failover::kTroubleNames.NameOf(trouble_) } });
+  promotion_.emplace(std::move(names), options);
+  DoPromotion(promotion_->Start());
+}
+
+Core::Duration
+GroupWatcher::OrderTimeout() const
+{
+  return kOrderTimeout;
+}
+
+void
+GroupWatcher::DoPromotion(
+  const std::vector<Failover::PromotionAction>& aActions)
+{
+  for (const Failover::PromotionAction& action : aActions) {
+    switch (action.step) {
+      case PromotionStep::Fence:
+        Fence(action.database);
+        break;
+      case PromotionStep::AwaitGrace:
+        graceTimer_ = loop_.After(
+          kGrace, [this] { DoPromotion(promotion_->OnGraceOver()); });
+        break;
+      case PromotionStep::Promote:
+        Promote(action.database);
+        break;
+      case PromotionStep::Follow:
+        Follow(action.database,
+               { promotion_->Options().term, promotion_->Options().owner },
+               promotion_->Chosen());
+        break;
+      case PromotionStep::Finish:
+        FinishPromotion();
+        break;
+    }
+  }
+}
+
+void
+GroupWatcher::Fence(const std::string& aDatabase)
+{
+  const Failover::PromotionOptions& options = promotion_->Options();
+  links_.at(aDatabase)->Fence(
+    { options.term, options.owner },
+    OrderTimeout(),
+    [this, aDatabase, round = round_, alive = alive_, askedAt = loop_.Now()](
+      const std::optional<Endpoint::ControlAnswer>& aAnswer) {
+      if (!*alive || round != round_)
+        return;
+      if (aAnswer)
+        watch_.OnReport(aDatabase, aAnswer->report, askedAt, loop_.Now());
+      DoPromotion(promotion_->OnFence(aDatabase, aAnswer));
+    });
+}
+
+void
+GroupWatcher::Promote(const std::string& aDatabase)
+{
+  const Failover::PromotionOptions& options = promotion_->Options();
+  links_.at(aDatabase)->Promote(
+    { options.term, options.owner },
+    OrderTimeout(),
+    [this, aDatabase, round = round_, alive = alive_, askedAt = loop_.Now()](
+      const std::optional<Endpoint::ControlAnswer>& aAnswer) {
+      if (!*alive || round != round_)
+        return;
+      if (aAnswer)
+        watch_.OnReport(aDatabase, aAnswer->report, askedAt, loop_.Now());
+      DoPromotion(promotion_->OnPromote(aAnswer));
+    });
+}
+
+void
+GroupWatcher::Follow(const std::string& aDatabase,
+                     const Endpoint::ControlOrder& aOrder,
+                     const std::string& aPrimary)
+{
+  const auto primary = databases_.find(aPrimary);
+  if (primary == databases_.end())
+    return;
+  links_.at(aDatabase)->Follow(
+    aOrder,
+    aPrimary,
+    primary->second.address.ToText(),
+    OrderTimeout(),
+    [this, aDatabase, alive = alive_, askedAt = loop_.Now()](
+      const std::optional<Endpoint::ControlAnswer>& aAnswer) {
+      if (*alive && aAnswer)
+        watch_.OnReport(aDatabase, aAnswer->report, askedAt, loop_.Now());
+    });
+}
+
+void
+GroupWatcher::FinishPromotion()
+{
+  graceTimer_.reset();
+  const bool succeeded = promotion_->HasSucceeded();
+  Core::LogChange(succeeded ? "promoted" : "promotion failed",
+                  { { "group", group_ },
+                    { "term", promotion_->Options().term },
+                    { "primary", promotion_->Chosen() },
+                    { "reason", promotion_->Reason() } });
+  watch_.OnPromotionEnded(succeeded, loop_.Now());
+  if (succeeded)
+    host_.RecordPromotion(group_, *promotion_, trouble_);
+}
+
+boost::json::object
+GroupWatcher::ToJson() const
+{
+  boost::json::array databases;
+  for (const auto& [name, database] : databases_) {
+    boost::json::object item{
+      { "name", name },
+      { "data_centre", database.dataCentre },
+      { "silent", watch_.IsSilent(name, loop_.Now()) },
+    };
+    if (const auto* report = watch_.LastReport(name)) {
+      item["position"] = report->log.ToText();
+      item["promised"] = report->promised;
+      item["joining"] = report->isJoining;
+    }
+    databases.push_back(std::move(item));
+  }
+  return { { "group", group_ },
+           { "rank", settings_.rank },
+           { "primary", watch_.Primary().value_or("") },
+           { "term", watch_.HighestTerm() },
+           { "databases", std::move(databases) } };
+}
+
+} // namespace Agent
--- /dev/null
+++ b/Libraries/LibAgent/OperatorInterface.cpp
@@ -0,0 +1,190 @@
+#include "OperatorInterface.h"
+
+#include "PeerSpread.h"
+
+#include <LibWire/FieldReader.h>
+#include <LibWire/Secret.h>
+
+#include <utility>
+
+namespace Agent {
+
+using Configuration::ChangeEnd;
+using Wire::HttpAnswer;
+using Wire::HttpMethod;
+using Wire::HttpReplyHandle;
+using Wire::HttpRequest;
+using Wire::HttpStatus;
+
+namespace {
+
+constexpr std::size_t kMostAuditRecords = 500;
+
+boost::json::array
+ExceptionsToJson(const Settings::FleetSettings& aFleet)
+{
+  boost::json::array list;
+  for (const Settings::SettingException& exception : aFleet.Exceptions())
+    list.push_back(
+      boost::json::object{ { "name", exception.name },
+                           { "scope", Settings::ScopeToText(exception.scope) },
+                           { "key", exception.key },
+                           { "value", exception.value },
+                           { "reason", exception.reason } });
+  return list;
+}
+
+boost::json::array
+SettingsToJson(const Settings::FleetSettings& aFleet)
+{
+  boost::json::array list;
+  for (const Settings::SettingSpec& spec : Settings::FleetSettingsTable())
+    list.push_back(boost::json::object{ { "name", spec.name },
+                                        { "value", aFleet.Text(spec.name) },
+                                        { "default", spec.standard },
+                                        { "unit", spec.unit },
+                                        { "doc", spec.doc } });
+  return list;
+}
+
+HttpStatus
+StatusOf(ChangeEnd aEnd)
+{
+  switch (aEnd) {
+    case ChangeEnd::Accepted:
+      return HttpStatus::Ok;
+    case ChangeEnd::Conflict:
+      return HttpStatus::Conflict;
+    case ChangeEnd::Invalid:
+      return HttpStatus::BadRequest;
+    case ChangeEnd::Unavailable:
+      return HttpStatus::ServiceUnavailable;
+  }
+  return HttpStatus::ServiceUnavailable;
+}
+
+} // namespace
+
+OperatorInterface::OperatorInterface(
+  Configuration::ConfigurationStore& aStore,
+  PeerSpread& aSpread,
+  std::string aSecret,
+  std::function<boost::json::object()> aStatus)
+  : store_(aStore)
+  , spread_(aSpread)
+  , secret_(std::move(aSecret))
+  , status_(std::move(aStatus))
+{
+}
+
+void
+OperatorInterface::AddRoutes(Wire::HttpServer& aServer)
+{
+  const auto route = [this, &aServer](HttpMethod aMethod,
+                                      const std::string& aCommand,
+                                      Wire::HttpHandler aHandler) {
+    aServer.Route(
+      aMethod,
+      "/v1/operators/" + aCommand,
+      [this, handler = std::move(aHandler)](const HttpRequest& aRequest,
+                                            const HttpReplyHandle& aReply) {
+        if (!Wire::IsBearerOf(aRequest.authorization, secret_)) {
+          aReply->Send(
+            HttpAnswer::Error(HttpStatus::Unauthorized,
+                              "the operators' secret is missing or wrong"));
+          return;
+        }
+        handler(aRequest, aReply);
+      });
+  };
+  route(HttpMethod::Get,
+        "status",
+        [this](const HttpRequest&, const HttpReplyHandle& aReply) {
+          aReply->Send(HttpAnswer::Json(HttpStatus::Ok, status_()));
+        });
+  route(HttpMethod::Get,
+        "config",
+        [this](const HttpRequest&, const HttpReplyHandle& aReply) {
+          Show(aReply);
+        });
+  route(HttpMethod::Post,
+        "config",
+        [this](const HttpRequest& aRequest, const HttpReplyHandle& aReply) {
+          Change(aRequest.body, aReply);
+        });
+  route(HttpMethod::Get,
+        "audit",
+        [this](const HttpRequest&, const HttpReplyHandle& aReply) {
+          Audit(aReply);
+        });
+}
+
+void
+OperatorInterface::Show(const HttpReplyHandle& aReply) const
+{
+  aReply->Send(
+    HttpAnswer::Json(HttpStatus::Ok,
+                     boost::json::object{
+                       { "version", spread_.Held().version },
+                       { "current", spread_.IsCurrent() },
+                       { "text", spread_.Held().text },
+                       { "settings", SettingsToJson(spread_.Fleet()) },
+                       { "exceptions", ExceptionsToJson(spread_.Fleet()) } }));
+}
+
+void
+OperatorInterface::Change(const std::string& aBody,
+                          const HttpReplyHandle& aReply)
+{
+  Core::Findings findings;
+  const auto body = Wire::ParseObject(aBody, findings);
+  const auto order =
+    body ? Configuration::ChangeOrder::FromJson(*body, findings) : std::nullopt;
+  if (!order) {
+    aReply->Send(
+      HttpAnswer::Json(HttpStatus::BadRequest, Wire::FindingsToJson(findings)));
+    return;
+  }
+  store_.Change(*order,
+                [this, aReply](const Configuration::ChangeResult& aResult) {
+                  AnswerChange(aResult, aReply);
+                });
+}
+
+void
+OperatorInterface::AnswerChange(const Configuration::ChangeResult& aResult,
+                                const HttpReplyHandle& aReply)
+{
+  if (aResult.end == ChangeEnd::Accepted)
+    spread_.TakeConfiguration(aResult.configuration);
+  boost::json::object body = aResult.findings.IsEmpty()
+                               ? boost::json::object{}
+                               : Wire::FindingsToJson(aResult.findings);
+  body["end"] = Configuration::kChangeEndNames.NameOf(aResult.end);
+  body["version"] = aResult.configuration.version;
+  if (!aResult.reason.empty() && aResult.end != ChangeEnd::Accepted)
+    body["error"] = aResult.reason;
+  aReply->Send(HttpAnswer::Json(StatusOf(aResult.end), body));
+}
+
+void
+OperatorInterface::Audit(const HttpReplyHandle& aReply)
+{
+  store_.Audit(
+    kMostAuditRecords,
+    [aReply](const std::optional<std::vector<Platform::TableRow>>& aRows) {
+      if (!aRows) {
+        aReply->Send(HttpAnswer::Error(HttpStatus::ServiceUnavailable,
+                                       "the table service can't be had"));
+        return;
+      }
+      boost::json::array records;
+      for (const Platform::TableRow& row : *aRows)
+        records.push_back(row.value);
+      aReply->Send(HttpAnswer::Json(
+        HttpStatus::Ok,
+        boost::json::object{ { "records", std::move(records) } }));
+    });
+}
+
+} // namespace Agent
--- /dev/null
+++ b/Libraries/LibAgent/PeerSpread.cpp
@@ -0,0 +1,495 @@
+#include "PeerSpread.h"
+
+#include <LibCore/Log.h>
+#include <LibMembership/Rendezvous.h>
+#include <LibWire/FieldReader.h>
+#include <LibWire/Secret.h>
+
+#include <algorithm>
+#include <fstream>
+#include <limits>
+#include <sstream>
+#include <utility>
+
+namespace Agent {
+
+using Wire::HttpAnswer;
+using Wire::HttpMethod;
+using Wire::HttpOutcome;
+using Wire::HttpReplyHandle;
+using Wire::HttpRequest;
+using Wire::HttpStatus;
+
+namespace {
+
+constexpr Core::Duration kPeerTimeout = std::chrono::milliseconds(300);
+constexpr Core::Duration kFetchTimeout = std::chrono::milliseconds(1000);
+/** Members that poll the platform at the settings' pace. */
+constexpr std::size_t kPollers = 3;
+/** The others poll this many times less often, should all pollers be cut. */
+constexpr int kSlowPoll = 10;
+/** Members told at once of something new. */
+constexpr std::size_t kPushFanOut = 4;
+/** Members asked to try a silent one before it is suspected. */
+constexpr std::size_t kHelpers = 2;
+constexpr std::int64_t kMost = std::numeric_limits<std::int64_t>::max();
+
+Membership::Member
+OwnMember(const Settings::ProcessSettings& aSettings)
+{
+  Membership::Member member;
+  member.name = aSettings.Text("node.name");
+  member.dataCentre = aSettings.Text("node.data_centre");
+  member.callers = aSettings.Address("proxy.callers");
+  member.peers = aSettings.Address("proxy.peers");
+  member.operators = aSettings.Address("proxy.operators");
+  member.agent = aSettings.Address("agent.address");
+  return member;
+}
+
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/** Rises with each start of a VM's agent, without anything being kept. */
+std::uint64_t
+FirstIncarnation()
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
+} // namespace
+
+PeerSpread::PeerSpread(Core::Loop& aLoop,
+                       const Settings::ProcessSettings& aSettings,
+                       Wire::HttpClient& aClient,
+                       Configuration::ConfigurationStore& aStore,
+                       Platform::VmDirectory& aDirectory,
+                       Core::Random& aRandom,
+                       Metrics::Registry& aMetrics)
+  : loop_(aLoop)
+  , name_(aSettings.Text("node.name"))
+  , secret_(aSettings.Text("secrets.peers"))
+  , firstConfigurationFile_(aSettings.Text("platform.first_configuration"))
+  , seeds_(aSettings.Addresses("agent.seeds"))
+  , client_(aClient)
+  , store_(aStore)
+  , directory_(aDirectory)
+  , random_(aRandom)
+  , metrics_(aMetrics)
+  , members_(OwnMember(aSettings), FirstIncarnation(), {}, aRandom)
+{
+}
+
+void
+PeerSpread::OnChange(std::function<void()> aListener)
+{
+  listener_ = std::move(aListener);
+}
+
+void
+PeerSpread::AddRoutes(Wire::HttpServer& aServer)
+{
+  const auto guard = [this](auto aMethod) {
+    return [this, aMethod](const HttpRequest& aRequest,
+                           const HttpReplyHandle& aReply) {
+      if (!Wire::IsBearerOf(aRequest.authorization, secret_)) {
+        aReply->Send(HttpAnswer::Error(HttpStatus::Unauthorized,
+                                       "the peers' secret is wrong"));
+        return;
+      }
+      (this->*aMethod)(aRequest, aReply);
+    };
+  };
+  aServer.Route(
+    HttpMethod::Post, "/v1/peer/ping", guard(&PeerSpread::AnswerPing));
+  aServer.Route(
+    HttpMethod::Post, "/v1/peer/reach", guard(&PeerSpread::AnswerReach));
+  aServer.Route(HttpMethod::Get,
+                "/v1/peer/configuration",
+                [this](const HttpRequest&, const HttpReplyHandle& aReply) {
+                  aReply->Send(HttpAnswer::Json(
+                    HttpStatus::Ok,
+                    boost::json::object{ { "version", Held().version },
+                                         { "text", Held().text } }));
+                });
+  aServer.Route(HttpMethod::Get,
+                "/v1/peer/vms",
+                [this](const HttpRequest&, const HttpReplyHandle& aReply) {
+                  boost::json::object body = list_.ToJson();
+                  body["version"] = listVersion_;
+                  aReply->Send(HttpAnswer::Json(HttpStatus::Ok, body));
+                });
+}
+
+void
+PeerSpread::Start()
+{
+  PollStore();
+  PollList();
+  PingNext();
+}
+
+void
+PeerSpread::Leave()
+{
+  members_.Leave();
+  PushToSome();
+}
+
+bool
+PeerSpread::IsCurrent() const
+{
+  const bool isAlone = list_.members.size() <= 1;
+  return tracker_.IsCurrent(
+    loop_.Now(), fleet_.Milliseconds("configuration.stale_ms"), isAlone);
+}
+
+void
+PeerSpread::Changed()
+{
+  if (listener_)
+    listener_();
+}
+
+void
+PeerSpread::Call(const Wire::Address& aAddress,
+                 HttpMethod aMethod,
+                 const std::string& aTarget,
+                 const boost::json::object& aBody,
+                 Wire::HttpCallback aCallback)
+{
+  Wire::HttpCall call;
+  call.method = aMethod;
+  call.target = aTarget;
+  if (aMethod == HttpMethod::Post)
+    call.body = boost::json::serialize(aBody);
+  call.secret = secret_;
+  call.timeout = aMethod == HttpMethod::Post ? kPeerTimeout : kFetchTimeout;
+  metrics_.Count("agent_messages_total");
+  metrics_.Count("agent_bytes_total", call.body.size());
+  client_.Call(aAddress, call, std::move(aCallback));
+}
+
+void
+PeerSpread::PingNext()
+{
+  const Core::Duration period = fleet_.Milliseconds("membership.ping_ms");
+  pingTimer_ = loop_.After(period, [this] { PingNext(); });
+  members_.SetSettings(
+    { fleet_.Milliseconds("membership.suspect_ms"),
+      std::max<Core::Duration>(period * 4, std::chrono::milliseconds(1500)) });
+  const auto before = members_.Working();
+  if (const auto member = members_.NextToPing(loop_.Now()))
+    Ping(member->agent, member->name);
+  else if (!seeds_.empty())
+    Ping(seeds_[random_.Below(seeds_.size())], "");
+  if (members_.Working() != before)
+    Changed();
+}
+
+void
+PeerSpread::Ping(const Wire::Address& aAddress, const std::string& aName)
+{
+  Call(aAddress,
+       HttpMethod::Post,
+       "/v1/peer/ping",
+       Digest(),
+       [this, aAddress, aName, askedAt = loop_.Now()](
+         const HttpOutcome& aOutcome) {
+         TakePong(aAddress, aName, askedAt, aOutcome);
+       });
+}
+
+void
+PeerSpread::TakePong(const Wire::Address& aAddress,
+                     const std::string& aName,
+                     Core::Instant aAskedAt,
+                     const HttpOutcome& aOutcome)
+{
+  Core::Findings findings;
+  const auto body = aOutcome.IsOk()
+                      ? Wire::ParseObject(aOutcome.answer.body, findings)
+                      : std::nullopt;
+  if (body) {
+    const auto before = members_.Working();
+    members_.OnHeard(aName, loop_.Now());
+    TakeDigest(*body, aAddress, aAskedAt);
+    if (members_.Working() != before)
+      Changed();
+    return;
+  }
+  for (const Membership::MemberNews& news : members_.All()) {
+    if (news.member.name == aName)
+      AskHelpers(news.member);
+  }
+}
+
+void
+PeerSpread::AskHelpers(const Membership::Member& aMember)
+{
+  std::vector<Membership::Member> helpers = members_.SomeOthers(kHelpers + 1);
+  std::erase_if(helpers, [&aMember](const Membership::Member& aHelper) {
+    return aHelper.name == aMember.name;
+  });
+  if (helpers.size() > kHelpers)
+    helpers.resize(kHelpers);
+  if (helpers.empty()) {
+    members_.OnSilent(aMember.name, loop_.Now());
+    return;
+  }
+  auto left = std::make_shared<std::size_t>(helpers.size());
+  auto reached = std::make_shared<bool>(false);
+  for (const Membership::Member& helper : helpers) {
+    Call(
+      helper.agent,
+      HttpMethod::Post,
+      "/v1/peer/reach",
+      { { "address", aMember.agent.ToText() } },
+      [this, left, reached, name = aMember.name](const HttpOutcome& aOutcome) {
+        *reached = *reached || aOutcome.IsOk();
+        if (--*left == 0 && !*reached)
+          members_.OnSilent(name, loop_.Now());
+      });
+  }
+}
+
+void
+PeerSpread::AnswerReach(const HttpRequest& aRequest,
+                        const HttpReplyHandle& aReply)
+{
+  Core::Findings findings;
+  Core::LastReason reason;
+  const auto body = Wire::ParseObject(aRequest.body, findings);
+  std::optional<Wire::Address> address;
+  if (body) {
+    Wire::FieldReader reader(*body, findings);
+    address = Wire::Address::Parse(reader.String("address"), reason);
+  }
+  if (!address) {
+    aReply->Send(HttpAnswer::Error(HttpStatus::BadRequest,
+                                   findings.ToText() + reason.Text()));
+    return;
+  }
+  Call(*address,
+       HttpMethod::Post,
+       "/v1/peer/ping",
+       Digest(),
+       [aReply](const HttpOutcome& aOutcome) {
+         if (aOutcome.IsOk())
+           aReply->Send(
+             HttpAnswer::Json(HttpStatus::Ok, boost::json::object{}));
+         else
+           aReply->Send(HttpAnswer::Error(HttpStatus::BadGateway, "silent"));
+       });
+}
+
+void
+PeerSpread::AnswerPing(const HttpRequest& aRequest,
+                       const HttpReplyHandle& aReply)
+{
+  Core::Findings findings;
+  const auto body = Wire::ParseObject(aRequest.body, findings);
+  if (!body) {
+    aReply->Send(
+      HttpAnswer::Json(HttpStatus::BadRequest, Wire::FindingsToJson(findings)));
+    return;
+  }
+  const auto before = members_.Working();
+  // The sender's own news comes first and tells where it can be asked.
+  Wire::Address from;
+  Core::LastReason reason;
+  Wire::FieldReader reader(*body, findings);
+  if (const auto* news = reader.OptionalArray("news"); news && !news->empty()) {
+    if (const auto own = Membership::MemberNews::FromJson((*news)[0], reason))
+      from = own->member.agent;
+  }
+  TakeDigest(*body, from, loop_.Now());
+  aReply->Send(HttpAnswer::Json(HttpStatus::Ok, Digest()));
+  if (members_.Working() != before)
+    Changed();
+}
+
+boost::json::object
+PeerSpread::Digest()
+{
+  boost::json::array news{ members_.OwnNews().ToJson() };
+  for (const Membership::MemberNews& item : members_.NewsToTell())
+    news.push_back(item.ToJson());
+  return { { "news", std::move(news) },
+           { "configuration_version", Held().version },
+           { "list_version", listVersion_ } };
+}
+
+void
+PeerSpread::TakeDigest(const boost::json::object& aDigest,
+                       const Wire::Address& aFrom,
+                       Core::Instant aAskedAt)
+{
+  Core::Findings findings;
+  Wire::FieldReader reader(aDigest, findings);
+  Core::LastReason reason;
+  if (const auto* news = reader.OptionalArray("news")) {
+    for (const boost::json::value& item : *news) {
+      if (const auto one = Membership::MemberNews::FromJson(item, reason))
+        members_.Take(*one, loop_.Now());
+    }
+  }
+  const auto configuration = static_cast<std::uint64_t>(
+    reader.Integer("configuration_version", 0, kMost));
+  const auto list =
+    static_cast<std::uint64_t>(reader.Integer("list_version", 0, kMost));
+  if (configuration > Held().version)
+    FetchConfiguration(aFrom);
+  else if (configuration > 0)
+    tracker_.OnConfirmed(configuration, aAskedAt);
+  if (list > listVersion_)
+    FetchList(aFrom);
+}
+
+void
+PeerSpread::FetchConfiguration(const Wire::Address& aFrom)
+{
+  if (std::exchange(isFetchingConfiguration_, true))
+    return;
+  Call(aFrom,
+       HttpMethod::Get,
+       "/v1/peer/configuration",
+       {},
+       [this](const HttpOutcome& aOutcome) {
+         isFetchingConfiguration_ = false;
+         Core::Findings findings;
+         const auto body = aOutcome.IsOk()
+                             ? Wire::ParseObject(aOutcome.answer.body, findings)
+                             : std::nullopt;
+         if (!body)
+           return;
+         Wire::FieldReader reader(*body, findings);
+         Membership::Configuration configuration;
+         configuration.version =
+           static_cast<std::uint64_t>(reader.Integer("version", 0, kMost));
+         configuration.text = reader.String("text");
+         if (findings.IsEmpty())
+           TakeConfiguration(configuration);
+       });
+}
+
+void
+PeerSpread::TakeConfiguration(const Membership::Configuration& aConfiguration)
+{
+  Core::Findings findings;
+  auto fleet = Settings::FleetSettings::Parse(
+    aConfiguration.text, "configuration", findings);
+  if (!fleet || !tracker_.Take(aConfiguration))
+    return;
+  fleet_ = std::move(*fleet);
+  tracker_.OnConfirmed(aConfiguration.version, loop_.Now());
+  Core::LogChange("configuration", { { "version", aConfiguration.version } });
+  PushToSome();
+  Changed();
+}
+
+void
+PeerSpread::FetchList(const Wire::Address& aFrom)
+{
+  if (std::exchange(isFetchingList_, true))
+    return;
+  Call(aFrom,
+       HttpMethod::Get,
+       "/v1/peer/vms",
+       {},
+       [this](const HttpOutcome& aOutcome) {
+         isFetchingList_ = false;
+         Core::Findings findings;
+         Core::LastReason reason;
+         const auto body = aOutcome.IsOk()
+                             ? Wire::ParseObject(aOutcome.answer.body, findings)
+                             : std::nullopt;
+         const auto list =
+           body ? Membership::VmList::FromJson(*body, reason) : std::nullopt;
+         if (!list)
+           return;
+         Wire::FieldReader reader(*body, findings);
+         TakeList(
+           static_cast<std::uint64_t>(reader.Integer("version", 0, kMost)),
+           *list);
+       });
+}
+
+void
+PeerSpread::TakeList(std::uint64_t aVersion, const Membership::VmList& aList)
+{
+  if (aVersion <= listVersion_)
+    return;
+  listVersion_ = aVersion;
+  list_ = aList;
+  members_.SetListed(list_.members, loop_.Now());
+  PushToSome();
+  Changed();
+}
+
+void
+PeerSpread::PushToSome()
+{
+  for (const Membership::Member& member : members_.SomeOthers(kPushFanOut))
+    Ping(member.agent, member.name);
+}
+
+bool
+PeerSpread::IsPoller() const
+{
+  const auto working = members_.Working();
+  const auto ranked = Membership::RankMembers(working, "pollers");
+  const std::size_t most = std::min(kPollers, ranked.size());
+  return std::any_of(ranked.begin(),
+                     ranked.begin() + static_cast<std::ptrdiff_t>(most),
+                     [this](const Membership::Member* aMember) {
+                       return aMember->name == name_;
+                     });
+}
+
+void
+PeerSpread::PollStore()
+{
+  const Core::Instant askedAt = loop_.Now();
+  store_.Load([this, askedAt](
+                const std::optional<Membership::Configuration>& aPresent) {
+    Core::Duration pause = fleet_.Milliseconds("configuration.poll_ms");
+    if (aPresent && aPresent->version == 0) {
+      store_.Found(ReadFile(firstConfigurationFile_), [this] { PollStore(); });
+      return;
+    }
+    if (aPresent) {
+      TakeConfiguration(*aPresent);
+      tracker_.OnConfirmed(aPresent->version, askedAt);
+    }
+    if (aPresent && !IsPoller())
+      pause *= kSlowPoll;
+    storeTimer_ = loop_.After(pause, [this] { PollStore(); });
+  });
+}
+
+void
+PeerSpread::PollList()
+{
+  directory_.List(
+    listVersion_,
+    [this](const std::optional<Platform::VersionedVmList>& aList) {
+      Core::Duration pause = fleet_.Milliseconds("platform.list_ms");
+      if (aList)
+        TakeList(aList->version, aList->list);
+      if (aList && listVersion_ > 0 && !IsPoller())
+        pause *= kSlowPoll;
+      listTimer_ = loop_.After(pause, [this] { PollList(); });
+    });
+}
+
+} // namespace Agent
--- /dev/null
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -0,0 +1,334 @@
+#include <LibConfiguration/ConfigurationStore.h>
+
+#include <LibWire/FieldReader.h>
+
+#include <limits>
+#include <utility>
+
+namespace Configuration {
+
+using Platform::CommitEnd;
+using Platform::TableRow;
+using Platform::TableTransaction;
+
+namespace {
+
+constexpr const char* kPresentKey = "configuration/present";
+constexpr const char* kChangePrefix = "configuration/change/";
+constexpr const char* kAuditPrefix = "audit/";
+constexpr int kMostTries = 4;
+constexpr std::size_t kAuditTimeDigits = 15;
+
+Membership::Configuration
+ConfigurationFrom(const boost::json::value& aValue)
+{
+  Membership::Configuration configuration;
+  Core::Findings findings;
+  if (!aValue.is_object())
+    return configuration;
+  Wire::FieldReader reader(aValue.get_object(), findings);
+  configuration.version = static_cast<std::uint64_t>(
+    reader.Integer("version", 0, std::numeric_limits<std::int64_t>::max()));
+  configuration.text = reader.String("text");
+  return configuration;
+}
+
+boost::json::object
+ToJson(const Membership::Configuration& aConfiguration)
+{
+  return { { "version", aConfiguration.version },
+           { "text", aConfiguration.text } };
+}
+
+bool
+Apply(const ChangeOrder& aOrder,
+      Settings::FleetSettings& aSettings,
+      Core::Findings& aFindings)
+{
+  switch (aOrder.kind) {
+    case EditKind::SetDefault:
+      aSettings.SetDefault(aOrder.name, aOrder.value);
+      return true;
+    case EditKind::SetException:
+      aSettings.SetException(aOrder.exception);
+      return true;
+    case EditKind::RemoveException:
+      if (aSettings.RemoveException(aOrder.name))
+        return true;
+      aFindings.Add("/name", "there is no exception \"" + aOrder.name + '"');
+      return false;
+  }
+  return false;
+}
+
+/** The text after aOrder, or nothing and the findings. */
+std::optional<std::string>
+Edit(const std::string& aText,
+     const ChangeOrder& aOrder,
+     Core::Findings& aFindings)
+{
+  auto settings =
+    Settings::FleetSettings::Parse(aText, "configuration", aFindings);
+  if (!settings || !Apply(aOrder, *settings, aFindings))
+    return std::nullopt;
+  std::string text = settings->ToIni();
+  if (!Settings::FleetSettings::Parse(text, "the change", aFindings))
+    return std::nullopt;
+  return text;
+}
+
+/** INI values are one line each, so a line break would add settings. */
+void
+CheckOneLine(const std::string& aPlace,
+             const std::string& aText,
+             Core::Findings& aFindings)
+{
+  if (aText.find_first_of("\r\n") != std::string::npos)
+    aFindings.Add(aPlace, "must be one line");
+}
+
+} // namespace
+
+std::optional<ChangeOrder>
+ChangeOrder::FromJson(const boost::json::object& aObject,
+                      Core::Findings& aFindings)
+{
+  Wire::FieldReader reader(aObject, aFindings);
+  ChangeOrder order;
+  order.id = reader.String("change_id");
+  order.basedOn = static_cast<std::uint64_t>(
+    reader.Integer("based_on", 0, std::numeric_limits<std::int64_t>::max()));
+  order.reason = reader.String("reason");
+  order.author = reader.OptionalString("author").value_or("");
+  const auto kind = kEditKindNames.ValueOf(reader.String("edit"));
+  if (!kind)
+    aFindings.Add("/edit", "must be set, except or unexcept");
+  order.kind = kind.value_or(EditKind::SetDefault);
+  order.name = reader.String("name");
+  order.value = reader.OptionalString("value").value_or("");
+  if (order.kind == EditKind::SetException) {
+    std::string problem;
+    const auto scope = Settings::ParseScope(reader.String("scope"), problem);
+    if (!scope)
+      aFindings.Add("/scope", problem);
+    order.exception = { order.name,
+                        scope.value_or(Settings::Scope{}),
+                        reader.String("key"),
+                        order.value,
+                        order.reason };
+  }
+  reader.RejectOthers();
+  if (order.reason.empty())
+    aFindings.Add("/reason", "must not be empty; every change needs one");
+  if (order.id.empty() || order.id.find('/') != std::string::npos)
+    aFindings.Add("/change_id", "must be a word without slashes");
+  CheckOneLine("/reason", order.reason, aFindings);
+  CheckOneLine("/name", order.name, aFindings);
+  CheckOneLine("/value", order.value, aFindings);
+  if (!aFindings.IsEmpty())
+    return std::nullopt;
+  return order;
+}
+
+std::string
+ChangeOrder::Summary() const
+{
+  switch (kind) {
+    case EditKind::SetDefault:
+      return "set " + name + " = " + value;
+    case EditKind::SetException:
+      return "except " + name + ": " + exception.key + " = " + value + " for " +
+             Settings::ScopeToText(exception.scope);
+    case EditKind::RemoveException:
+      return "unexcept " + name;
+  }
+  return "";
+}
+
+/** One order on its way through the store. */
+struct ConfigurationStore::Attempt
+{
+  ChangeOrder order;
+  ChangeCallback callback;
+  ChangeResult result;
+  int tries = 0;
+};
+
+ConfigurationStore::ConfigurationStore(
+  Platform::TableService& aTable,
+  std::function<std::int64_t()> aWallClockMs)
+  : table_(aTable)
+  , wallClockMs_(std::move(aWallClockMs))
+{
+}
+
+std::string
+ConfigurationStore::AuditKey(const std::string& aKeyEnd) const
+{
+  std::string time = std::to_string(wallClockMs_());
+  // Keys are ordered as text, so the time needs a fixed width.
+  time.insert(
+    0, kAuditTimeDigits - std::min(kAuditTimeDigits, time.size()), '0');
+  return kAuditPrefix + time + '-' + aKeyEnd;
+}
+
+void
+ConfigurationStore::Load(
+  std::function<void(std::optional<Membership::Configuration>)> aCallback)
+{
+  table_.Read(kPresentKey,
+              [callback = std::move(aCallback)](
+                const std::optional<std::vector<TableRow>>& aRows) {
+                if (!aRows || aRows->empty())
+                  callback(std::nullopt);
+                else
+                  callback(ConfigurationFrom(aRows->front().value));
+              });
+}
+
+void
+ConfigurationStore::Found(const std::string& aText,
+                          std::function<void()> aCallback)
+{
+  TableTransaction transaction;
+  transaction.conditions = { { kPresentKey, 0 } };
+  transaction.puts = { { kPresentKey, ToJson({ 1, aText }) },
+                       { AuditKey("configuration-1"),
+                         boost::json::object{
+                           { "time_ms", wallClockMs_() },
+                           { "what", "configuration" },
+                           { "version", 1 },
+                           { "change", "the defaults" },
+                           { "reason", "the fleet's first start" } } } };
+  table_.Commit(transaction,
+                [callback = std::move(aCallback)](CommitEnd) { callback(); });
+}
+
+void
+ConfigurationStore::Change(const ChangeOrder& aOrder, ChangeCallback aCallback)
+{
+  auto attempt = std::make_shared<Attempt>();
+  attempt->order = aOrder;
+  attempt->callback = std::move(aCallback);
+  TryChange(attempt);
+}
+
+void
+ConfigurationStore::TryChange(const AttemptHandle& aAttempt)
+{
+  if (++aAttempt->tries > kMostTries) {
+    aAttempt->result.end = ChangeEnd::Unavailable;
+    aAttempt->result.reason = "the store does not answer; repeat the change "
+                              "with the same id to learn what became of it";
+    aAttempt->callback(aAttempt->result);
+    return;
+  }
+  table_.Read(
+    kPresentKey,
+    [this, aAttempt](const std::optional<std::vector<TableRow>>& aRows) {
+      if (!aRows || aRows->empty())
+        TryChange(aAttempt);
+      else
+        TakePresent(aAttempt, aRows->front());
+    });
+}
+
+void
+ConfigurationStore::TakePresent(const AttemptHandle& aAttempt,
+                                const TableRow& aRow)
+{
+  const Membership::Configuration present = ConfigurationFrom(aRow.value);
+  const ChangeOrder& order = aAttempt->order;
+  if (present.version != order.basedOn) {
+    aAttempt->result.reason = "version " + std::to_string(present.version) +
+                              " is in force, and the change was made from " +
+                              std::to_string(order.basedOn);
+    CheckOwn(aAttempt, ChangeEnd::Conflict);
+    return;
+  }
+  const auto text = Edit(present.text, order, aAttempt->result.findings);
+  if (!text) {
+    aAttempt->result.end = ChangeEnd::Invalid;
+    aAttempt->callback(aAttempt->result);
+    return;
+  }
+  aAttempt->result.configuration = { present.version + 1, *text };
+  const boost::json::object record{
+    { "time_ms", wallClockMs_() },      { "what", "configuration" },
+    { "version", present.version + 1 }, { "change", order.Summary() },
+    { "change_id", order.id },          { "reason", order.reason },
+    { "author", order.author },
+  };
+  TableTransaction transaction;
+  transaction.conditions = { { kPresentKey, aRow.version },
+                             { kChangePrefix + order.id, 0 } };
+  transaction.puts = {
+    { kPresentKey, ToJson(aAttempt->result.configuration) },
+    { kChangePrefix + order.id, ToJson(aAttempt->result.configuration) },
+    { AuditKey("configuration-" + std::to_string(present.version + 1)), record }
+  };
+  table_.Commit(transaction, [this, aAttempt](CommitEnd aEnd) {
+    TakeCommit(aAttempt, aEnd);
+  });
+}
+
+void
+ConfigurationStore::TakeCommit(const AttemptHandle& aAttempt, CommitEnd aEnd)
+{
+  switch (aEnd) {
+    case CommitEnd::Committed:
+      aAttempt->result.end = ChangeEnd::Accepted;
+      aAttempt->callback(aAttempt->result);
+      return;
+    case CommitEnd::Conflict:
+      aAttempt->result.reason = "another change came first";
+      CheckOwn(aAttempt, ChangeEnd::Conflict);
+      return;
+    case CommitEnd::Refused:
+    case CommitEnd::Unknown:
+      // Its own change row tells a repeat whether it has taken effect.
+      TryChange(aAttempt);
+      return;
+  }
+}
+
+void
+ConfigurationStore::CheckOwn(const AttemptHandle& aAttempt,
+                             ChangeEnd aOtherwise)
+{
+  table_.Read(kChangePrefix + aAttempt->order.id,
+              [this, aAttempt, aOtherwise](
+                const std::optional<std::vector<TableRow>>& aRows) {
+                if (!aRows || aRows->empty()) {
+                  TryChange(aAttempt);
+                  return;
+                }
+                const TableRow& row = aRows->front();
+                aAttempt->result.end =
+                  row.version > 0 ? ChangeEnd::Accepted : aOtherwise;
+                if (row.version > 0)
+                  aAttempt->result.configuration = ConfigurationFrom(row.value);
+                aAttempt->callback(aAttempt->result);
+              });
+}
+
+void
+ConfigurationStore::Record(const std::string& aKeyEnd,
+                           boost::json::object aRecord,
+                           std::function<void(bool)> aCallback)
+{
+  aRecord["time_ms"] = wallClockMs_();
+  TableTransaction transaction;
+  transaction.puts = { { AuditKey(aKeyEnd), std::move(aRecord) } };
+  table_.Commit(transaction, [callback = std::move(aCallback)](CommitEnd aEnd) {
+    callback(aEnd == CommitEnd::Committed);
+  });
+}
+
+void
+ConfigurationStore::Audit(std::size_t aMost, Platform::RowsCallback aCallback)
+{
+  table_.Scan(kAuditPrefix, aMost, std::move(aCallback));
+}
+
+} // namespace Configuration
--- /dev/null
+++ b/Libraries/LibCore/Loop.cpp
@@ -0,0 +1,122 @@
+#include <LibCore/Loop.h>
+
+#include <event2/event.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Core {
+
+namespace {
+
+timeval
+ToInterval(Duration aDelay)
+{
+  aDelay = std::max(aDelay, Duration::zero());
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(aDelay);
+  return { seconds.count(), (aDelay - seconds).count() };
+}
+
+} // namespace
+
+class Timer
+{
+public:
+  Timer(event_base* aBase,
+        int aSignal,
+        short aFlags,
+        std::function<void()> aTask)
+    : task_(std::move(aTask))
+    , event_(event_new(aBase, aSignal, aFlags, &Timer::Fire, this))
+  {
+  }
+  ~Timer() { event_free(event_); }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  void Arm(Duration aDelay)
+  {
+    const timeval interval = ToInterval(aDelay);
+    event_add(event_, &interval);
+  }
+  void Watch() { event_add(event_, nullptr); }
+
+private:
+  static void Fire(int, short, void* aSelf)
+  {
+    // The task may drop the handle that owns it, so it runs from a copy.
+    const std::function<void()> task = static_cast<Timer*>(aSelf)->task_;
+    task();
+  }
+
+  std::function<void()> task_;
+  event* event_;
+};
+
+Loop::Loop()
+  : base_(event_base_new())
+{
+}
+
+Loop::~Loop()
+{
+  signals_.clear();
+  event_base_free(base_);
+}
+
+TimerHandle
+Loop::After(Duration aDelay, std::function<void()> aTask)
+{
+  auto timer = std::make_shared<Timer>(base_, -1, 0, std::move(aTask));
+  timer->Arm(aDelay);
+  return timer;
+}
+
+TimerHandle
+Loop::Every(Duration aPeriod, std::function<void()> aTask)
+{
+  auto timer = std::make_shared<Timer>(base_, -1, EV_PERSIST, std::move(aTask));
+  timer->Arm(aPeriod);
+  return timer;
+}
+
+void
+Loop::Defer(std::function<void()> aTask, Duration aDelay)
+{
+  auto* task = new std::function<void()>(std::move(aTask));
+  const timeval interval = ToInterval(aDelay);
+  event_base_once(
+    base_,
+    -1,
+    EV_TIMEOUT,
+    [](int, short, void* aTaskPointer) {
+      std::unique_ptr<std::function<void()>> owned(
+        static_cast<std::function<void()>*>(aTaskPointer));
+      (*owned)();
+    },
+    task,
+    &interval);
+}
+
+void
+Loop::OnSignal(int aNumber, std::function<void()> aTask)
+{
+  auto timer = std::make_shared<Timer>(
+    base_, aNumber, EV_SIGNAL | EV_PERSIST, std::move(aTask));
+  timer->Watch();
+  signals_.push_back(std::move(timer));
+}
+
+void
+Loop::Run()
+{
+  event_base_dispatch(base_);
+}
+
+void
+Loop::Stop()
+{
+  event_base_loopbreak(base_);
+}
+
+} // namespace Core
--- /dev/null
+++ b/Libraries/LibEndpoint/GroupBook.cpp
@@ -0,0 +1,189 @@
+#include <LibEndpoint/GroupBook.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Endpoint {
+
+namespace {
+
+/** Samples kept; beyond this, older ones are thinned out. */
+constexpr std::size_t kMostSamples = 512;
+/** Closer samples than this add nothing to an age. */
+constexpr Core::Duration kSampleSpacing = std::chrono::milliseconds(5);
+/** A sample may be dropped when its neighbours are this part of its age. */
+constexpr int kThinningRatio = 32;
+
+} // namespace
+
+GroupBook::GroupBook(std::vector<std::string> aDatabases)
+  : names_(std::move(aDatabases))
+{
+}
+
+void
+GroupBook::SetDatabases(std::vector<std::string> aDatabases)
+{
+  names_ = std::move(aDatabases);
+  std::erase_if(known_, [this](const auto& aEntry) {
+    return std::find(names_.begin(), names_.end(), aEntry.first) ==
+           names_.end();
+  });
+}
+
+void
+GroupBook::Take(const std::string& aDatabase,
+                const DatabaseReport& aReport,
+                Core::Instant aAskedAt)
+{
+  if (std::find(names_.begin(), names_.end(), aDatabase) == names_.end())
+    return;
+  Known& known = known_[aDatabase];
+  // A late answer of an identity whose log is lost says nothing any more.
+  if (known.retired.contains(aReport.identity))
+    return;
+  if (known.last.identity != aReport.identity)
+    Retire(known);
+  highestTerm_ = std::max(highestTerm_, aReport.promised);
+
+  const bool confirms = aReport.IsSettled() && !aReport.isJoining;
+  if (confirms)
+    known.confirmed = std::max(known.confirmed, aReport.log);
+  // Answers can overtake each other; the promise tells which is the later.
+  const bool isNewer =
+    aReport.promised > known.last.promised ||
+    (aReport.promised == known.last.promised && aAskedAt >= known.lastAskedAt);
+  if (isNewer) {
+    known.last = aReport;
+    known.lastAskedAt = aAskedAt;
+  }
+  if (aReport.isPrimary && aReport.IsSettled())
+    AddSample({ aAskedAt, aReport.log });
+}
+
+void
+GroupBook::Retire(Known& aKnown)
+{
+  std::set<std::string> retired = std::move(aKnown.retired);
+  if (!aKnown.last.identity.empty())
+    retired.insert(aKnown.last.identity);
+  aKnown = Known{};
+  aKnown.retired = std::move(retired);
+}
+
+std::optional<std::string>
+GroupBook::Primary() const
+{
+  for (const auto& [name, known] : known_) {
+    if (known.last.isPrimary && known.last.IsSettled() &&
+        known.last.promised == highestTerm_)
+      return name;
+  }
+  return std::nullopt;
+}
+
+bool
+GroupBook::IsConfirmed(const LogPosition& aPosition,
+                       std::size_t aRequired) const
+{
+  const auto holders = static_cast<std::size_t>(
+    std::count_if(known_.begin(), known_.end(), [&](const auto& aEntry) {
+      const LogPosition& held = aEntry.second.confirmed;
+      return held.term == aPosition.term && held.position >= aPosition.position;
+    }));
+  return holders >= (aRequired == 0 ? Majority() : aRequired);
+}
+
+bool
+GroupBook::IsConfirmedSince(const LogPosition& aPosition,
+                            Core::Instant aSince,
+                            std::size_t aRequired) const
+{
+  const auto holders = static_cast<std::size_t>(
+    std::count_if(known_.begin(), known_.end(), [&](const auto& aEntry) {
+      const Known& known = aEntry.second;
+      return known.lastAskedAt >= aSince && known.last.IsSettled() &&
+             !known.last.isJoining && known.last.log.term == aPosition.term &&
+             known.last.log.position >= aPosition.position;
+    }));
+  return holders >= (aRequired == 0 ? Majority() : aRequired);
+}
+
+bool
+GroupBook::IsReplaced(Term aTerm) const
+{
+  const auto later = static_cast<std::size_t>(
+    std::count_if(known_.begin(), known_.end(), [aTerm](const auto& aEntry) {
+      return aEntry.second.last.promised > aTerm;
+    }));
+  return later >= Majority();
+}
+
+const DatabaseReport*
+GroupBook::LastReport(const std::string& aDatabase) const
+{
+  const auto found = known_.find(aDatabase);
+  return found == known_.end() ? nullptr : &found->second.last;
+}
+
+bool
+GroupBook::IsCurrentSince(Term aTerm, Core::Instant aSince) const
+{
+  const auto loyal = static_cast<std::size_t>(
+    std::count_if(known_.begin(), known_.end(), [&](const auto& aEntry) {
+      const Known& known = aEntry.second;
+      return known.last.promised == aTerm && known.lastAskedAt >= aSince &&
+             !known.last.isJoining;
+    }));
+  return loyal >= Majority();
+}
+
+std::optional<Core::Duration>
+GroupBook::AgeOf(const LogPosition& aPosition, Core::Instant aNow) const
+{
+  for (auto sample = samples_.rbegin(); sample != samples_.rend(); ++sample) {
+    // A majority that had promised nothing later after that moment proves
+    // that no successor had acknowledged anything before it.
+    if (Session::Covers(aPosition, sample->log) &&
+        IsCurrentSince(sample->log.term, sample->askedAt))
+      return aNow - sample->askedAt;
+  }
+  return std::nullopt;
+}
+
+void
+GroupBook::AddSample(const Sample& aSample)
+{
+  if (!samples_.empty()) {
+    Sample& last = samples_.back();
+    // An answer that was overtaken proves less than the one already here.
+    if (aSample.log.term < last.log.term || aSample.askedAt < last.askedAt)
+      return;
+    if (aSample.log == last.log) {
+      last.askedAt = aSample.askedAt;
+      return;
+    }
+    if (aSample.askedAt - last.askedAt < kSampleSpacing)
+      return;
+  }
+  samples_.push_back(aSample);
+  if (samples_.size() > kMostSamples)
+    ThinSamples();
+}
+
+void
+GroupBook::ThinSamples()
+{
+  const Core::Instant newest = samples_.back().askedAt;
+  std::deque<Sample> kept;
+  for (std::size_t i = 0; i < samples_.size(); ++i) {
+    const bool isEnd = kept.empty() || i + 1 == samples_.size();
+    const Core::Duration age = newest - samples_[i].askedAt;
+    if (isEnd ||
+        samples_[i + 1].askedAt - kept.back().askedAt > age / kThinningRatio)
+      kept.push_back(samples_[i]);
+  }
+  samples_ = std::move(kept);
+}
+
+} // namespace Endpoint
--- /dev/null
+++ b/Libraries/LibEndpoint/HttpEndpointLink.cpp
@@ -0,0 +1,134 @@
+#include <LibEndpoint/HttpEndpointLink.h>
+
+#include "HttpEndpointConnection.h"
+
+#include <LibWire/FieldReader.h>
+
+#include <utility>
+
+namespace Endpoint {
+
+namespace {
+
+std::optional<boost::json::object>
+ReadBody(const Wire::HttpOutcome& aOutcome)
+{
+  if (!aOutcome.IsOk())
+    return std::nullopt;
+  Core::Findings findings;
+  return Wire::ParseObject(aOutcome.answer.body, findings);
+}
+
+boost::json::object
+OrderToJson(const ControlOrder& aOrder)
+{
+  return { { "term", aOrder.term }, { "owner", aOrder.owner } };
+}
+
+std::string
+StatusTarget(const StatusQuestion& aQuestion)
+{
+  std::string target = "/v1/control/status";
+  if (!aQuestion.known)
+    return target;
+  target += "?known_position=" + std::to_string(aQuestion.known->log.position) +
+            "&known_log_term=" + std::to_string(aQuestion.known->log.term) +
+            "&known_promised=" + std::to_string(aQuestion.known->promised) +
+            "&wait_ms=" + std::to_string(Core::ToMilliseconds(aQuestion.wait));
+  return target;
+}
+
+} // namespace
+
+HttpEndpointLink::HttpEndpointLink(Core::Loop& aLoop,
+                                   Wire::HttpClient& aClient,
+                                   const Wire::Address& aAddress,
+                                   std::string aSender)
+  : loop_(aLoop)
+  , client_(aClient)
+  , address_(aAddress)
+  , sender_(std::move(aSender))
+{
+}
+
+std::unique_ptr<EndpointConnection>
+HttpEndpointLink::NewConnection()
+{
+  return std::make_unique<HttpEndpointConnection>(loop_, address_, sender_);
+}
+
+void
+HttpEndpointLink::AskStatus(const StatusQuestion& aQuestion,
+                            ReportCallback aCallback)
+{
+  Wire::HttpCall call;
+  call.target = StatusTarget(aQuestion);
+  call.timeout = aQuestion.wait + aQuestion.timeout;
+  client_.Call(
+    address_,
+    call,
+    [callback = std::move(aCallback)](const Wire::HttpOutcome& aOutcome) {
+      const auto body = ReadBody(aOutcome);
+      callback(body ? ReportFromJson(*body) : std::nullopt);
+    });
+}
+
+void
+HttpEndpointLink::Order(const std::string& aWhat,
+                        const boost::json::object& aBody,
+                        Core::Duration aTimeout,
+                        ControlCallback aCallback)
+{
+  Wire::HttpCall call;
+  call.method = Wire::HttpMethod::Post;
+  call.target = "/v1/control/" + aWhat;
+  call.body = boost::json::serialize(aBody);
+  call.timeout = aTimeout;
+  client_.Call(
+    address_,
+    call,
+    [callback = std::move(aCallback)](const Wire::HttpOutcome& aOutcome) {
+      const auto body = ReadBody(aOutcome);
+      const auto report = body ? ReportFromJson(*body) : std::nullopt;
+      if (!report) {
+        callback(std::nullopt);
+        return;
+      }
+      Core::Findings findings;
+      Wire::FieldReader reader(*body, findings);
+      callback(ControlAnswer{ reader.Boolean("accepted", false),
+                              reader.OptionalString("reason").value_or(""),
+                              *report });
+    });
+}
+
+void
+HttpEndpointLink::Fence(const ControlOrder& aOrder,
+                        Core::Duration aTimeout,
+                        ControlCallback aCallback)
+{
+  Order("fence", OrderToJson(aOrder), aTimeout, std::move(aCallback));
+}
+
+void
+HttpEndpointLink::Promote(const ControlOrder& aOrder,
+                          Core::Duration aTimeout,
+                          ControlCallback aCallback)
+{
+  Order("promote", OrderToJson(aOrder), aTimeout, std::move(aCallback));
+}
+
+void
+HttpEndpointLink::Follow(const ControlOrder& aOrder,
+                         const std::string& aName,
+                         const std::string& aAddress,
+                         Core::Duration aTimeout,
+                         ControlCallback aCallback)
+{
+  boost::json::object body = OrderToJson(aOrder);
+  body["primary"] = aName;
+  body["address"] = aAddress;
+  Order("follow", body, aTimeout, std::move(aCallback));
+}
+
+} // namespace Endpoint
--- /dev/null
+++ b/Libraries/LibPlatform/include/LibPlatform/HttpPlatform.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibPlatform/TableService.h>
+#include <LibPlatform/VmDirectory.h>
+#include <LibWire/HttpClient.h>
+
+namespace Platform {
+
+/** The platform's services over HTTP, as the stand-in offers them. */
+class HttpPlatform final
+  : public TableService
+  , public VmDirectory
+{
+public:
+  HttpPlatform(Wire::HttpClient& aClient, const Wire::Address& aAddress);
+
+  void Read(const std::string& aKey, RowsCallback aCallback) override;
+  void Scan(const std::string& aPrefix,
+            std::size_t aMost,
+            RowsCallback aCallback) override;
+  void Commit(const TableTransaction& aTransaction,
+              CommitCallback aCallback) override;
+  void List(
+    std::uint64_t aKnownVersion,
+    std::function<void(std::optional<VersionedVmList>)> aCallback) override;
+
+private:
+  void ReadRows(const std::string& aTarget, RowsCallback aCallback);
+
+  Wire::HttpClient& client_;
+  Wire::Address address_;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/Libraries/LibProxy/GroupHome.cpp
@@ -0,0 +1,333 @@
+#include <LibProxy/GroupHome.h>
+
+#include "RunnerSupport.h"
+
+#include <LibCore/Log.h>
+#include <LibRequest/Ledger.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Proxy {
+
+namespace {
+
+/** A quiet database answers its long poll after this. */
+constexpr Core::Duration kPollWait = std::chrono::milliseconds(200);
+/** A poll that failed is tried again after this. */
+constexpr Core::Duration kPollRetry = std::chrono::milliseconds(50);
+constexpr Core::Duration kPollTimeout = std::chrono::milliseconds(300);
+/** How often expired ledger rows are deleted. */
+constexpr Core::Duration kLedgerSweep = std::chrono::seconds(30);
+constexpr std::int64_t kWholePercent = 100;
+
+} // namespace
+
+GroupHome::GroupHome(HomeContext& aContext, std::string aGroup)
+  : context_(aContext)
+  , name_(std::move(aGroup))
+  , settings_(std::make_shared<Settings::FleetSettings>())
+  , book_({})
+  , retries_(0)
+  , ledgerTimer_(aContext.loop.Every(kLedgerSweep, [this] { ExpireLedger(); }))
+{
+}
+
+GroupHome::~GroupHome()
+{
+  *alive_ = false;
+}
+
+Settings::Scope
+GroupHome::ScopeOf(const std::string& aKind) const
+{
+  return { name_, aKind, context_.dataCentre };
+}
+
+GateLimits
+GroupHome::LimitsOf(const Membership::Database& aDatabase) const
+{
+  const Settings::Scope scope = ScopeOf("");
+  GateLimits limits;
+  limits.slots = static_cast<std::size_t>(aDatabase.slots);
+  // Two homes can exist for a moment, so one takes less than half.
+  const std::int64_t share =
+    aDatabase.connections *
+    settings_->Integer("connections.share_percent", scope) / kWholePercent;
+  limits.connections =
+    static_cast<std::size_t>(std::max(share, aDatabase.slots));
+  limits.floor =
+    static_cast<std::size_t>(settings_->Integer("connections.floor", scope));
+  limits.longestQueue =
+    static_cast<std::size_t>(settings_->Integer("queue.longest", scope));
+  limits.order = settings_->Boolean("queue.weighted", scope)
+                   ? Admission::QueueOrder::Weighted
+                   : Admission::QueueOrder::Arrival;
+  limits.probeIdle =
+    settings_->Milliseconds("connections.probe_idle_ms", scope);
+  limits.timeout =
+    settings_->Milliseconds("requests.attempt_timeout_ms", scope);
+  return limits;
+}
+
+void
+GroupHome::Update(const std::vector<const Membership::Database*>& aDatabases,
+                  SettingsHandle aSettings)
+{
+  settings_ = std::move(aSettings);
+  retries_.SetPercent(
+    settings_->Integer("requests.retry_percent", ScopeOf("")));
+  router_.SetPolicy(Request::kReadPolicyNames
+                      .ValueOf(settings_->Text("reads.policy", ScopeOf("")))
+                      .value_or(Request::ReadPolicy::LeastWait));
+
+  std::vector<std::string> names;
+  names.reserve(aDatabases.size());
+  for (const Membership::Database* database : aDatabases)
+    names.push_back(database->name);
+  book_.SetDatabases(names);
+  std::erase_if(databases_, [&names](const auto& aEntry) {
+    return std::find(names.begin(), names.end(), aEntry.first) == names.end();
+  });
+  for (const Membership::Database* database : aDatabases) {
+    const auto found = databases_.find(database->name);
+    if (found == databases_.end() ||
+        found->second->info.address != database->address) {
+      AddDatabase(*database);
+      continue;
+    }
+    found->second->info = *database;
+    found->second->gate->SetLimits(LimitsOf(*database));
+  }
+}
+
+void
+GroupHome::AddDatabase(const Membership::Database& aDatabase)
+{
+  auto entry = std::make_unique<DatabaseEntry>();
+  entry->info = aDatabase;
+  entry->gate = std::make_unique<DatabaseGate>(
+    context_.loop, context_.links.Make(aDatabase), LimitsOf(aDatabase));
+  databases_[aDatabase.name] = std::move(entry);
+  Poll(aDatabase.name);
+}
+
+DatabaseGate*
+GroupHome::GateOf(const std::string& aDatabase)
+{
+  const auto found = databases_.find(aDatabase);
+  return found == databases_.end() ? nullptr : found->second->gate.get();
+}
+
+std::vector<Request::ReadCandidate>
+GroupHome::Candidates() const
+{
+  const auto primary = book_.Primary();
+  const Core::Instant now = context_.loop.Now();
+  std::vector<Request::ReadCandidate> candidates;
+  for (const auto& [name, entry] : databases_) {
+    const Endpoint::DatabaseReport* report = book_.LastReport(name);
+    if (report == nullptr)
+      continue;
+    Request::ReadCandidate candidate;
+    candidate.name = name;
+    candidate.isPrimary = primary == name;
+    candidate.isLeaving = entry->info.state == Membership::VmState::Leaving;
+    candidate.isNear = entry->info.dataCentre == context_.dataCentre;
+    candidate.isReachable = entry->isReachable;
+    candidate.position = report->log;
+    candidate.age = book_.AgeOf(report->log, now);
+    candidate.expectedWait = entry->gate->ExpectedWait();
+    candidate.connections = entry->gate->Connections();
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+void
+GroupHome::Take(const std::string& aDatabase,
+                const std::optional<Endpoint::DatabaseReport>& aReport,
+                Core::Instant aAskedAt)
+{
+  if (!aReport)
+    return;
+  const auto before = book_.Primary();
+  book_.Take(aDatabase, *aReport, aAskedAt);
+  const auto after = book_.Primary();
+  if (before != after)
+    Core::LogChange("primary seen",
+                    { { "group", name_ },
+                      { "primary", after.value_or("") },
+                      { "term", book_.HighestTerm() } });
+  CheckWaiters();
+}
+
+void
+GroupHome::Poll(const std::string& aDatabase)
+{
+  const auto found = databases_.find(aDatabase);
+  if (found == databases_.end())
+    return;
+  Endpoint::StatusQuestion question;
+  if (const auto* last = book_.LastReport(aDatabase);
+      last != nullptr && found->second->isReachable)
+    question.known = *last;
+  question.wait = kPollWait;
+  question.timeout = kPollTimeout;
+  found->second->gate->Link().AskStatus(
+    question,
+    [this,
+     aDatabase,
+     alive = found->second->alive,
+     askedAt = context_.loop.Now()](
+      const std::optional<Endpoint::DatabaseReport>& aReport) {
+      if (*alive)
+        TakePoll(aDatabase, aReport, askedAt);
+    });
+}
+
+void
+GroupHome::TakePoll(const std::string& aDatabase,
+                    const std::optional<Endpoint::DatabaseReport>& aReport,
+                    Core::Instant aAskedAt)
+{
+  DatabaseEntry& entry = *databases_.at(aDatabase);
+  entry.isReachable = aReport.has_value();
+  Take(aDatabase, aReport, aAskedAt);
+  if (aReport) {
+    Poll(aDatabase);
+    return;
+  }
+  entry.pollTimer =
+    context_.loop.After(kPollRetry, [this, aDatabase] { Poll(aDatabase); });
+}
+
+void
+GroupHome::PollNow()
+{
+  for (const auto& [name, entry] : databases_) {
+    Endpoint::StatusQuestion question;
+    question.timeout = kPollTimeout;
+    entry->gate->Link().AskStatus(
+      question,
+      [this,
+       database = name,
+       alive = entry->alive,
+       askedAt = context_.loop.Now()](
+        const std::optional<Endpoint::DatabaseReport>& aReport) {
+        if (*alive)
+          Take(database, aReport, askedAt);
+      });
+  }
+}
+
+GroupHome::WaiterNumber
+GroupHome::Await(std::function<bool()> aIsDue, std::function<void()> aCallback)
+{
+  waiters_[++lastWaiter_] = { std::move(aIsDue), std::move(aCallback) };
+  CheckWaiters();
+  return lastWaiter_;
+}
+
+void
+GroupHome::Forget(WaiterNumber aWaiter)
+{
+  waiters_.erase(aWaiter);
+}
+
+void
+GroupHome::CheckWaiters()
+{
+  if (waiters_.empty() || std::exchange(checkScheduled_, true))
+    return;
+  context_.loop.Defer([this, alive = alive_] {
+    if (!*alive)
+      return;
+    checkScheduled_ = false;
+    std::vector<std::function<void()>> due;
+    for (auto waiter = waiters_.begin(); waiter != waiters_.end();) {
+      if (!waiter->second.isDue()) {
+        ++waiter;
+        continue;
+      }
+      due.push_back(std::move(waiter->second.callback));
+      waiter = waiters_.erase(waiter);
+    }
+    for (const auto& callback : due)
+      callback();
+  });
+}
+
+void
+GroupHome::ExpireLedger()
+{
+  const auto primary = book_.Primary();
+  DatabaseGate* gate = primary ? GateOf(*primary) : nullptr;
+  if (gate == nullptr)
+    return;
+  Admission::Ticket ticket;
+  ticket.deadline = context_.loop.Now() + kLedgerSweep;
+  const Endpoint::Batch batch =
+    Request::Ledger::ExpireBatch(book_.HighestTerm(), WallClockMilliseconds());
+  gate->Acquire(
+    ticket,
+    nullptr,
+    [this, database = *primary, batch](const ConnectionHandle& aConnection) {
+      RunExpiry(database, batch, aConnection);
+    },
+    [](Core::Duration) {});
+}
+
+void
+GroupHome::RunExpiry(const std::string& aDatabase,
+                     const Endpoint::Batch& aBatch,
+                     const ConnectionHandle& aConnection)
+{
+  const auto release =
+    [this, aDatabase, aConnection, alive = alive_, now = context_.loop.Now()] {
+      DatabaseGate* gate = *alive ? GateOf(aDatabase) : nullptr;
+      if (gate != nullptr)
+        gate->Release(aConnection, now, false);
+    };
+  if (!aConnection) {
+    release();
+    return;
+  }
+  aConnection->Run(aBatch,
+                   kLedgerSweep,
+                   [this, aConnection, release](const Endpoint::BatchAnswer&) {
+                     context_.loop.Defer([aConnection] {});
+                     release();
+                   });
+}
+
+boost::json::object
+GroupHome::ToJson() const
+{
+  boost::json::array databases;
+  const Core::Instant now = context_.loop.Now();
+  for (const auto& [name, entry] : databases_) {
+    boost::json::object item{
+      { "name", name },
+      { "data_centre", entry->info.dataCentre },
+      { "state", Membership::kVmStateNames.NameOf(entry->info.state) },
+      { "reachable", entry->isReachable },
+      { "connections", entry->gate->Connections() },
+      { "queued", entry->gate->Queued() },
+    };
+    if (const auto* report = book_.LastReport(name)) {
+      item["position"] = report->log.ToText();
+      item["promised"] = report->promised;
+      if (const auto age = book_.AgeOf(report->log, now))
+        item["age_ms"] = Core::ToMilliseconds(*age);
+    }
+    databases.push_back(std::move(item));
+  }
+  return { { "group", name_ },
+           { "home", context_.nodeName },
+           { "primary", book_.Primary().value_or("") },
+           { "term", book_.HighestTerm() },
+           { "databases", std::move(databases) } };
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/Libraries/LibProxy/RunnerSupport.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibProxy/GroupHome.h>
+
+namespace Proxy {
+
+/** The time on the wall, in milliseconds since 1970; only for expiry. */
+std::int64_t
+WallClockMilliseconds();
+
+/** The deadline of a request that came in now. */
+Core::Instant
+DeadlineOf(GroupHome& aHome, const Request::StatementRequest& aRequest);
+
+/** A ticket for aRequest's kind. */
+Admission::Ticket
+TicketOf(GroupHome& aHome, const std::string& aKind, Core::Instant aDeadline);
+
+} // namespace Proxy
--- /dev/null
+++ b/Libraries/LibProxy/WriteRunner.cpp
@@ -0,0 +1,325 @@
+#include "WriteRunner.h"
+
+#include "RunnerSupport.h"
+
+#include <utility>
+
+namespace Proxy {
+
+using Request::WriteAction;
+using Request::WriteStep;
+
+namespace {
+
+/** A refused step is tried again no sooner than this. */
+constexpr Core::Duration kRetryPause = std::chrono::milliseconds(5);
+
+} // namespace
+
+WriteRunner::WriteRunner(GroupHome& aHome,
+                         Request::StatementRequest aRequest,
+                         const Request::WriteRules& aRules,
+                         Request::AnswerCallback aCallback)
+  : home_(aHome)
+  , request_(std::move(aRequest))
+  , flow_(aRules)
+  , usesLedger_(aRules.usesLedger)
+  , callback_(std::move(aCallback))
+  , deadline_(DeadlineOf(aHome, request_))
+{
+}
+
+void
+WriteRunner::Start()
+{
+  home_.Retries().RecordFirstAttempt();
+  ArmDeadline();
+  std::optional<Session::Term> term;
+  if (home_.Book().Primary())
+    term = home_.Book().HighestTerm();
+  Do(flow_.Start(term));
+}
+
+void
+WriteRunner::ArmDeadline()
+{
+  deadlineTimer_ = home_.Context().loop.After(
+    deadline_ - home_.Context().loop.Now(),
+    [self = shared_from_this()] { self->OnDeadline(); });
+}
+
+void
+WriteRunner::StartSettling()
+{
+  ArmDeadline();
+  isCommit_ = true;
+  Do(flow_.StartSettling());
+}
+
+void
+WriteRunner::StartCommit(const std::string& aDatabase,
+                         const ConnectionHandle& aConnection)
+{
+  ArmDeadline();
+  isCommit_ = true;
+  database_ = aDatabase;
+  const WriteAction action = flow_.StartSent();
+  step_ = action.step;
+  ticket_ = home_.GateOf(aDatabase)->Acquire(
+    TicketOf(home_, request_.kind, deadline_),
+    aConnection,
+    [self = shared_from_this()](const ConnectionHandle& aGranted) {
+      self->ticket_ = 0;
+      self->RunOn(aGranted,
+                  Request::Ledger::CommitBatch(self->request_.requestId,
+                                               self->ExpiresAt()));
+    },
+    [self = shared_from_this(), aConnection](Core::Duration aRetryAfter) {
+      if (DatabaseGate* gate = self->home_.GateOf(self->database_))
+        gate->DropPinned(aConnection);
+      self->OnRefused(aRetryAfter);
+    });
+}
+
+std::int64_t
+WriteRunner::ExpiresAt() const
+{
+  return WallClockMilliseconds() +
+         home_.Fleet().Integer("requests.ledger_expiry_ms",
+                               home_.ScopeOf(request_.kind));
+}
+
+void
+WriteRunner::Do(const WriteAction& aAction)
+{
+  step_ = aAction.step;
+  switch (aAction.step) {
+    case WriteStep::AwaitPrimary:
+      AwaitPrimary(aAction.term);
+      return;
+    case WriteStep::SendOriginal:
+    case WriteStep::SendTombstone:
+    case WriteStep::LookUp:
+      Send(aAction);
+      return;
+    case WriteStep::AwaitConfirmation:
+      AwaitConfirmation(aAction);
+      return;
+    case WriteStep::Finish:
+      Finish();
+      return;
+  }
+}
+
+void
+WriteRunner::AwaitPrimary(Session::Term aLeast)
+{
+  const auto wait = [self = shared_from_this(), aLeast] {
+    self->waiter_ = self->home_.Await(
+      [self, aLeast] {
+        return self->home_.Book().HighestTerm() >= aLeast &&
+               self->home_.Book().Primary().has_value();
+      },
+      [self] {
+        self->waiter_ = 0;
+        self->Do(self->flow_.OnPrimary(self->home_.Book().HighestTerm()));
+      });
+  };
+  // The first wait may end at once; a later one follows a refusal, and asking
+  // the same database again without a pause would only load it.
+  if (!std::exchange(hasWaited_, true)) {
+    wait();
+    return;
+  }
+  home_.PollNow();
+  retryTimer_ = home_.Context().loop.After(kRetryPause, wait);
+}
+
+void
+WriteRunner::AwaitConfirmation(const WriteAction& aAction)
+{
+  const auto required = static_cast<std::size_t>(home_.Fleet().Integer(
+    "writes.required_databases", home_.ScopeOf(request_.kind)));
+  const Core::Instant since = home_.Context().loop.Now();
+  if (aAction.needsFreshAnswers)
+    home_.PollNow();
+  const auto isConfirmed = [this, aAction, required, since] {
+    return aAction.needsFreshAnswers
+             ? home_.Book().IsConfirmedSince(aAction.position, since, required)
+             : home_.Book().IsConfirmed(aAction.position, required);
+  };
+  waiter_ = home_.Await(
+    [this, self = shared_from_this(), aAction, isConfirmed] {
+      return isConfirmed() || home_.Book().IsReplaced(aAction.position.term);
+    },
+    [this, self = shared_from_this(), isConfirmed] {
+      waiter_ = 0;
+      Do(isConfirmed() ? flow_.OnConfirmed() : flow_.OnReplaced());
+    });
+}
+
+Endpoint::Batch
+WriteRunner::BatchFor(const WriteAction& aAction) const
+{
+  using Request::Ledger;
+  if (aAction.step == WriteStep::LookUp)
+    return Ledger::LookUpBatch(aAction.term, request_.requestId);
+  if (aAction.step == WriteStep::SendTombstone)
+    return Ledger::TombstoneBatch(
+      aAction.term, request_.requestId, ExpiresAt());
+  if (usesLedger_)
+    return Ledger::RunBatch(
+      aAction.term, request_.requestId, request_.statement, ExpiresAt());
+  Endpoint::Batch batch;
+  batch.term = aAction.term;
+  batch.begin = true;
+  batch.commit = true;
+  batch.statements = { request_.statement };
+  return batch;
+}
+
+void
+WriteRunner::Send(const WriteAction& aAction)
+{
+  const auto primary = home_.Book().Primary();
+  DatabaseGate* gate = primary ? home_.GateOf(*primary) : nullptr;
+  if (gate == nullptr) {
+    AwaitPrimary(0);
+    return;
+  }
+  database_ = *primary;
+  ticket_ = gate->Acquire(
+    TicketOf(home_, request_.kind, deadline_),
+    nullptr,
+    [self = shared_from_this(),
+     batch = BatchFor(aAction)](const ConnectionHandle& aConnection) {
+      self->ticket_ = 0;
+      self->RunOn(aConnection, batch);
+    },
+    [self = shared_from_this()](Core::Duration aRetryAfter) {
+      self->OnRefused(aRetryAfter);
+    });
+}
+
+void
+WriteRunner::RunOn(const ConnectionHandle& aConnection,
+                   const Endpoint::Batch& aBatch)
+{
+  const Core::Instant now = home_.Context().loop.Now();
+  if (!callback_) {
+    // The deadline passed while the connection was being opened.
+    if (DatabaseGate* gate = home_.GateOf(database_))
+      gate->Release(aConnection, now, false);
+    return;
+  }
+  if (!aConnection) {
+    Endpoint::BatchAnswer answer;
+    answer.status = Endpoint::BatchStatus::NotSent;
+    answer.reason = "no connection to " + database_;
+    TakeAnswer(aConnection, now, std::move(answer));
+    return;
+  }
+  flow_.OnSent();
+  aConnection->Run(aBatch,
+                   home_.Fleet().Milliseconds("requests.attempt_timeout_ms",
+                                              home_.ScopeOf(request_.kind)),
+                   [self = shared_from_this(), aConnection, now](
+                     Endpoint::BatchAnswer aAnswer) {
+                     self->home_.Context().loop.Defer([aConnection] {});
+                     self->TakeAnswer(aConnection, now, std::move(aAnswer));
+                   });
+}
+
+void
+WriteRunner::TakeAnswer(const ConnectionHandle& aConnection,
+                        Core::Instant aAskedAt,
+                        Endpoint::BatchAnswer aAnswer)
+{
+  if (DatabaseGate* gate = home_.GateOf(database_))
+    gate->Release(aConnection, aAskedAt, false);
+  home_.Take(database_, aAnswer.report, aAskedAt);
+  // The answer to the caller may have been given at the deadline.
+  if (!callback_)
+    return;
+  if (step_ == WriteStep::LookUp) {
+    TakeLookUp(aAnswer);
+    return;
+  }
+  const bool isHit = usesLedger_ && Request::Ledger::IsHit(aAnswer);
+  const bool mayRetry = aAnswer.status == Endpoint::BatchStatus::Unknown &&
+                        home_.Retries().TryRetry();
+  if (aAnswer.status == Endpoint::BatchStatus::Unknown)
+    home_.Context().metrics.Count("writes_unknown_total");
+  KeepResult(aAnswer);
+  Do(flow_.OnBatch(aAnswer, isHit, mayRetry));
+}
+
+void
+WriteRunner::KeepResult(Endpoint::BatchAnswer& aAnswer)
+{
+  const std::size_t index = usesLedger_ ? Request::Ledger::kCallerStatement : 0;
+  const bool isOwn = step_ == WriteStep::SendOriginal && !isCommit_;
+  if (isOwn && aAnswer.status == Endpoint::BatchStatus::Ok &&
+      aAnswer.results.size() > index)
+    result_ = std::move(aAnswer.results[index]);
+}
+
+void
+WriteRunner::TakeLookUp(const Endpoint::BatchAnswer& aAnswer)
+{
+  std::int64_t affected = 0;
+  const auto row = Request::Ledger::ReadRow(aAnswer, affected);
+  if (row == Request::LedgerRow::Run) {
+    result_ = {};
+    result_.affected = affected;
+  }
+  Do(flow_.OnLookUp(
+    row, aAnswer.report ? aAnswer.report->log : Session::LogPosition{}));
+}
+
+void
+WriteRunner::OnRefused(Core::Duration aRetryAfter)
+{
+  ticket_ = 0;
+  if (!callback_)
+    return;
+  retryAfter_ = aRetryAfter;
+  Do(flow_.OnRefused("no slot by the deadline"));
+}
+
+void
+WriteRunner::OnDeadline()
+{
+  if (!callback_)
+    return;
+  DatabaseGate* gate = ticket_ != 0 ? home_.GateOf(database_) : nullptr;
+  if (gate != nullptr)
+    gate->Cancel(ticket_);
+  Do(flow_.OnDeadline());
+}
+
+void
+WriteRunner::Finish()
+{
+  if (waiter_ != 0)
+    home_.Forget(waiter_);
+  retryTimer_.reset();
+  const Request::WriteResult& result = flow_.Result();
+  Request::RequestAnswer answer;
+  answer.requestId = request_.requestId;
+  answer.outcome = result.outcome;
+  answer.reason = result.reason;
+  answer.retryAfter = retryAfter_;
+  answer.isReplayed = result.isReplayed;
+  answer.result = std::move(result_);
+  answer.token = request_.token;
+  answer.endpoint = database_;
+  answer.isPrimary = true;
+  if (result.position != Session::LogPosition{})
+    answer.token.Raise(home_.Name(), result.position);
+  const auto callback = std::exchange(callback_, nullptr);
+  deadlineTimer_.reset();
+  callback(std::move(answer));
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/Libraries/LibRequest/Ledger.cpp
@@ -0,0 +1,109 @@
+#include <LibRequest/Ledger.h>
+
+namespace Request {
+
+namespace {
+
+constexpr const char* kInsertRow =
+  "INSERT INTO mastichold_requests(request_id, outcome, affected, expires_at)"
+  " VALUES(?, ?, 0, ?)";
+constexpr const char* kSetAffected =
+  "UPDATE mastichold_requests SET affected = changes() WHERE request_id = ?";
+constexpr const char* kSelectRow =
+  "SELECT outcome, affected FROM mastichold_requests WHERE request_id = ?";
+constexpr const char* kDeleteExpired =
+  "DELETE FROM mastichold_requests WHERE request_id IN (SELECT request_id"
+  " FROM mastichold_requests WHERE expires_at < ? LIMIT 200)";
+constexpr const char* kRun = "run";
+constexpr const char* kTombstone = "tombstone";
+
+Endpoint::Statement
+RowStatement(const std::string& aRequestId,
+             const char* aOutcome,
+             std::int64_t aExpiresAtMs)
+{
+  return { kInsertRow, { aRequestId, aOutcome, aExpiresAtMs } };
+}
+
+} // namespace
+
+Endpoint::Batch
+Ledger::RunBatch(Term aTerm,
+                 const std::string& aRequestId,
+                 const Endpoint::Statement& aStatement,
+                 std::int64_t aExpiresAtMs)
+{
+  Endpoint::Batch batch;
+  batch.term = aTerm;
+  batch.begin = true;
+  batch.commit = true;
+  batch.statements = { RowStatement(aRequestId, kRun, aExpiresAtMs),
+                       aStatement,
+                       { kSetAffected, { aRequestId } } };
+  return batch;
+}
+
+Endpoint::Batch
+Ledger::CommitBatch(const std::string& aRequestId, std::int64_t aExpiresAtMs)
+{
+  Endpoint::Batch batch;
+  batch.commit = true;
+  batch.statements = { RowStatement(aRequestId, kRun, aExpiresAtMs) };
+  return batch;
+}
+
+Endpoint::Batch
+Ledger::TombstoneBatch(Term aTerm,
+                       const std::string& aRequestId,
+                       std::int64_t aExpiresAtMs)
+{
+  Endpoint::Batch batch;
+  batch.term = aTerm;
+  batch.begin = true;
+  batch.commit = true;
+  batch.statements = { RowStatement(aRequestId, kTombstone, aExpiresAtMs) };
+  return batch;
+}
+
+Endpoint::Batch
+Ledger::LookUpBatch(Term aTerm, const std::string& aRequestId)
+{
+  Endpoint::Batch batch;
+  batch.term = aTerm;
+  batch.readOnly = true;
+  batch.statements = { { kSelectRow, { aRequestId } } };
+  return batch;
+}
+
+Endpoint::Batch
+Ledger::ExpireBatch(Term aTerm, std::int64_t aNowMs)
+{
+  Endpoint::Batch batch;
+  batch.term = aTerm;
+  batch.begin = true;
+  batch.commit = true;
+  batch.statements = { { kDeleteExpired, { aNowMs } } };
+  return batch;
+}
+
+bool
+Ledger::IsHit(const Endpoint::BatchAnswer& aAnswer)
+{
+  return aAnswer.status == Endpoint::BatchStatus::StatementFailed &&
+         aAnswer.failedStatement == kRowStatement && aAnswer.isUniqueViolation;
+}
+
+std::optional<LedgerRow>
+Ledger::ReadRow(const Endpoint::BatchAnswer& aAnswer, std::int64_t& aAffected)
+{
+  if (aAnswer.status != Endpoint::BatchStatus::Ok || aAnswer.results.empty())
+    return std::nullopt;
+  const boost::json::array& rows = aAnswer.results.front().rows;
+  if (rows.empty())
+    return LedgerRow::Absent;
+  const boost::json::array& row = rows.front().as_array();
+  aAffected = row[1].to_number<std::int64_t>();
+  return row[0].as_string() == kRun ? LedgerRow::Run : LedgerRow::Tombstone;
+}
+
+} // namespace Request
--- /dev/null
+++ b/Libraries/LibSettings/DaemonArguments.cpp
@@ -0,0 +1,48 @@
+#include <LibSettings/DaemonArguments.h>
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+namespace Settings {
+
+namespace {
+
+constexpr int kBadSettingsExitCode = 2;
+
+} // namespace
+
+std::optional<ProcessSettings>
+ReadDaemonArguments(const std::string& aDescription,
+                    int aCount,
+                    char** aValues,
+                    int& aExitCode)
+{
+  CLI::App app{ aDescription };
+  std::string file;
+  bool onlyCheck = false;
+  app.add_option("--settings", file, "The INI file to read")->required();
+  app.add_flag("--check", onlyCheck, "Check the settings and end");
+  app.set_version_flag("--version", MASTICHOLD_VERSION);
+  try {
+    app.parse(aCount, aValues);
+  } catch (const CLI::ParseError& error) {
+    aExitCode = app.exit(error);
+    return std::nullopt;
+  }
+  Core::Findings findings;
+  auto settings = ProcessSettings::Load(file, findings);
+  if (!settings) {
+    std::cerr << findings.ToText() << '\n';
+    aExitCode = kBadSettingsExitCode;
+    return std::nullopt;
+  }
+  if (onlyCheck) {
+    std::cout << file << ": no findings\n";
+    aExitCode = 0;
+    return std::nullopt;
+  }
+  return settings;
+}
+
+} // namespace Settings
--- /dev/null
+++ b/Libraries/LibWire/HttpClient.cpp
@@ -0,0 +1,79 @@
+#include <LibWire/HttpClient.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Wire {
+
+namespace {
+
+/** An idle connection is closed after this, well before it could go silent. */
+constexpr Core::Duration kIdleLimit = std::chrono::seconds(5);
+
+} // namespace
+
+HttpClient::HttpClient(Core::Loop& aLoop, std::string aSender)
+  : loop_(aLoop)
+  , sender_(std::move(aSender))
+  , sweep_(aLoop.Every(kIdleLimit, [this] { CloseIdle(); }))
+{
+}
+
+void
+HttpClient::Call(const Address& aAddress,
+                 const HttpCall& aCall,
+                 HttpCallback aCallback)
+{
+  Pool& pool = pools_[aAddress];
+  // Take the most recently used idle connection, so that spare ones age out.
+  auto entry = std::find_if(pool.begin(), pool.end(), [](const Pooled& aEntry) {
+    return !aEntry.connection->IsBusy();
+  });
+  if (entry == pool.end()) {
+    pool.push_front(
+      { std::make_unique<HttpConnection>(loop_, aAddress, sender_), {} });
+    entry = pool.begin();
+  }
+  entry->connection->Send(aCall,
+                          [this, &pool, entry, callback = std::move(aCallback)](
+                            HttpOutcome aOutcome) {
+                            Release(pool, entry);
+                            callback(std::move(aOutcome));
+                          });
+}
+
+void
+HttpClient::Release(Pool& aPool, Pool::iterator aEntry)
+{
+  aEntry->idleSince = loop_.Now();
+  if (aEntry->connection->IsUsable()) {
+    aPool.splice(aPool.begin(), aPool, aEntry);
+    return;
+  }
+  // The connection is still on the call stack, so it goes a moment later.
+  std::shared_ptr<HttpConnection> condemned(std::move(aEntry->connection));
+  aPool.erase(aEntry);
+  loop_.Defer([condemned] {});
+}
+
+void
+HttpClient::CloseIdle()
+{
+  const Core::Instant limit = loop_.Now() - kIdleLimit;
+  for (auto& [address, pool] : pools_) {
+    pool.remove_if([limit](const Pooled& aEntry) {
+      return !aEntry.connection->IsBusy() && aEntry.idleSince < limit;
+    });
+  }
+}
+
+std::size_t
+HttpClient::Connections() const
+{
+  std::size_t count = 0;
+  for (const auto& [address, pool] : pools_)
+    count += pool.size();
+  return count;
+}
+
+} // namespace Wire
--- /dev/null
+++ b/Libraries/LibWire/HttpConnection.cpp
@@ -0,0 +1,151 @@
+#include <LibWire/HttpConnection.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <cstdlib>
+#include <utility>
+
+namespace Wire {
+
+namespace {
+
+evhttp_cmd_type
+CommandOf(HttpMethod aMethod)
+{
+  switch (aMethod) {
+    case HttpMethod::Get:
+      return EVHTTP_REQ_GET;
+    case HttpMethod::Post:
+      return EVHTTP_REQ_POST;
+    case HttpMethod::Put:
+      return EVHTTP_REQ_PUT;
+    case HttpMethod::Delete:
+      return EVHTTP_REQ_DELETE;
+  }
+  std::abort();
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(Core::Loop& aLoop,
+                               const Address& aAddress,
+                               std::string aSender)
+  : loop_(aLoop)
+  , address_(aAddress)
+  , sender_(std::move(aSender))
+  , connection_(evhttp_connection_base_new(aLoop.Base(),
+                                           nullptr,
+                                           aAddress.host.c_str(),
+                                           aAddress.port))
+{
+}
+
+HttpConnection::~HttpConnection()
+{
+  callback_ = nullptr;
+  Condemn();
+}
+
+void
+HttpConnection::Send(const HttpCall& aCall, HttpCallback aCallback)
+{
+  callback_ = std::move(aCallback);
+  failedAfterConnect_ = false;
+  if (connection_ == nullptr) {
+    timer_ = loop_.After(Core::Duration::zero(), [this] {
+      Finish({ Delivery::NotSent, {} });
+    });
+    return;
+  }
+  evhttp_request* request = evhttp_request_new(&HttpConnection::OnDone, this);
+  // libevent calls this for failures after the connection was made, and not
+  // for a connection that was refused, which is how the two are told apart.
+  evhttp_request_set_error_cb(request, [](evhttp_request_error, void* aSelf) {
+    static_cast<HttpConnection*>(aSelf)->failedAfterConnect_ = true;
+  });
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", address_.host.c_str());
+  evhttp_add_header(headers, kSenderHeader, sender_.c_str());
+  if (!aCall.secret.empty())
+    evhttp_add_header(
+      headers, "Authorization", ("Bearer " + aCall.secret).c_str());
+  if (!aCall.body.empty()) {
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    evbuffer_add(evhttp_request_get_output_buffer(request),
+                 aCall.body.data(),
+                 aCall.body.size());
+  }
+  timer_ = loop_.After(aCall.timeout, [this] {
+    Condemn();
+    Finish({ Delivery::TimedOut, {} });
+  });
+  if (evhttp_make_request(
+        connection_, request, CommandOf(aCall.method), aCall.target.c_str()) ==
+      0)
+    return;
+  Condemn();
+  timer_ = loop_.After(Core::Duration::zero(), [this] {
+    Finish({ Delivery::NotSent, {} });
+  });
+}
+
+void
+HttpConnection::OnDone(evhttp_request* aRequest, void* aSelf)
+{
+  auto* self = static_cast<HttpConnection*>(aSelf);
+  if (self->callback_ == nullptr)
+    return;
+  const int status =
+    aRequest != nullptr ? evhttp_request_get_response_code(aRequest) : 0;
+  if (status == 0) {
+    const bool refused = aRequest != nullptr && !self->failedAfterConnect_;
+    self->Condemn();
+    self->Finish({ refused ? Delivery::NotSent : Delivery::Lost, {} });
+    return;
+  }
+  HttpOutcome outcome;
+  outcome.delivery = Delivery::Answered;
+  outcome.answer.status = status;
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  outcome.answer.body.resize(evbuffer_get_length(input));
+  evbuffer_remove(
+    input, outcome.answer.body.data(), outcome.answer.body.size());
+  // The callback may drop this connection, and libevent is still using it.
+  self->timer_ = self->loop_.After(
+    Core::Duration::zero(),
+    [self, result = std::move(outcome)] { self->Finish(result); });
+}
+
+void
+HttpConnection::Finish(HttpOutcome aOutcome)
+{
+  timer_.reset();
+  const HttpCallback callback = std::exchange(callback_, nullptr);
+  if (callback)
+    callback(std::move(aOutcome));
+}
+
+void
+HttpConnection::Close()
+{
+  Condemn();
+  if (callback_ == nullptr)
+    return;
+  timer_ = loop_.After(Core::Duration::zero(), [this] {
+    Finish({ Delivery::Lost, {} });
+  });
+}
+
+void
+HttpConnection::Condemn()
+{
+  if (connection_ == nullptr)
+    return;
+  evhttp_connection* connection = std::exchange(connection_, nullptr);
+  // The call may come from inside libevent's handling of this connection.
+  loop_.Defer([connection] { evhttp_connection_free(connection); });
+}
+
+} // namespace Wire
--- /dev/null
+++ b/Libraries/LibWire/HttpMessage.cpp
@@ -0,0 +1,20 @@
+#include <LibWire/HttpMessage.h>
+
+namespace Wire {
+
+HttpAnswer
+HttpAnswer::Json(HttpStatus aStatus, const boost::json::value& aBody)
+{
+  HttpAnswer answer;
+  answer.status = static_cast<int>(aStatus);
+  answer.body = boost::json::serialize(aBody);
+  return answer;
+}
+
+HttpAnswer
+HttpAnswer::Error(HttpStatus aStatus, std::string_view aText)
+{
+  return Json(aStatus, boost::json::object{ { "error", aText } });
+}
+
+} // namespace Wire
--- /dev/null
+++ b/Libraries/LibWire/HttpServer.cpp
@@ -0,0 +1,336 @@
+#include <LibWire/HttpServer.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <cstdlib>
+#include <utility>
+
+namespace Wire {
+
+namespace {
+
+constexpr std::size_t kDefaultMaxBodyBytes = std::size_t{ 1 } << 20U;
+constexpr std::size_t kMaxHeaderBytes = std::size_t{ 16 } << 10U;
+/** Room above the limit in which our own, clearer 413 is given. */
+constexpr std::size_t kBodyLimitSlack = 4;
+constexpr int kListenBacklog = 1024;
+
+std::vector<std::string>
+SplitPath(std::string_view aPath)
+{
+  std::vector<std::string> segments;
+  std::size_t start = 1;
+  while (start <= aPath.size()) {
+    const std::size_t slash = std::min(aPath.find('/', start), aPath.size());
+    segments.emplace_back(aPath.substr(start, slash - start));
+    start = slash + 1;
+  }
+  return segments;
+}
+
+std::string
+Decode(const std::string& aSegment)
+{
+  std::size_t size = 0;
+  char* decoded = evhttp_uridecode(aSegment.c_str(), 0, &size);
+  std::string text(decoded, size);
+  std::free(decoded);
+  return text;
+}
+
+/** The captures when aSegments fit aPattern. */
+std::optional<std::vector<std::string>>
+Match(const std::vector<std::string>& aPattern,
+      const std::vector<std::string>& aSegments)
+{
+  if (aPattern.size() != aSegments.size())
+    return std::nullopt;
+  std::vector<std::string> captures;
+  for (std::size_t i = 0; i < aPattern.size(); ++i) {
+    if (aPattern[i].starts_with('{'))
+      captures.push_back(Decode(aSegments[i]));
+    else if (aPattern[i] != aSegments[i])
+      return std::nullopt;
+  }
+  return captures;
+}
+
+std::optional<HttpMethod>
+MethodOf(evhttp_request* aRequest)
+{
+  switch (evhttp_request_get_command(aRequest)) {
+    case EVHTTP_REQ_GET:
+      return HttpMethod::Get;
+    case EVHTTP_REQ_POST:
+      return HttpMethod::Post;
+    case EVHTTP_REQ_PUT:
+      return HttpMethod::Put;
+    case EVHTTP_REQ_DELETE:
+      return HttpMethod::Delete;
+    default:
+      return std::nullopt;
+  }
+}
+
+std::string
+HeaderOf(evhttp_request* aRequest, const char* aName)
+{
+  const char* value =
+    evhttp_find_header(evhttp_request_get_input_headers(aRequest), aName);
+  return value != nullptr ? value : "";
+}
+
+} // namespace
+
+/** The answer owed to one evhttp request. */
+class HttpServer::Reply final : public HttpReply
+{
+public:
+  Reply(HttpServer& aServer, evhttp_request* aRequest)
+    : server_(aServer)
+    , request_(aRequest)
+    , serverAlive_(aServer.alive_)
+  {
+    ++server_.inProgress_;
+  }
+  ~Reply() override
+  {
+    // A reply dropped unsent (a fault's silence) leaves the request with its
+    // connection; libevent frees both when the connection ends.
+    if (request_ != nullptr && *serverAlive_)
+      --server_.inProgress_;
+  }
+  Reply(const Reply&) = delete;
+  Reply& operator=(const Reply&) = delete;
+
+  void Send(HttpAnswer aAnswer) override
+  {
+    if (request_ == nullptr || !*serverAlive_)
+      return;
+    evhttp_request* request = std::exchange(request_, nullptr);
+    if (server_.latency_ == Core::Duration::zero()) {
+      server_.SendNow(request, aAnswer);
+      return;
+    }
+    server_.loop_.Defer(
+      [&server = server_,
+       alive = serverAlive_,
+       request,
+       answer = std::move(aAnswer)] {
+        if (*alive)
+          server.SendNow(request, answer);
+      },
+      server_.latency_);
+  }
+
+private:
+  HttpServer& server_;
+  evhttp_request* request_;
+  std::shared_ptr<bool> serverAlive_;
+};
+
+HttpServer::HttpServer(Core::Loop& aLoop)
+  : loop_(aLoop)
+  , http_(evhttp_new(aLoop.Base()))
+{
+  SetMaxBodyBytes(kDefaultMaxBodyBytes);
+  evhttp_set_max_headers_size(http_, kMaxHeaderBytes);
+  evhttp_set_allowed_methods(http_,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                               EVHTTP_REQ_DELETE);
+  evhttp_set_gencb(http_, &HttpServer::OnRequest, this);
+}
+
+HttpServer::~HttpServer()
+{
+  *alive_ = false;
+  for (const auto& [connection, number] : connections_)
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  evhttp_free(http_);
+}
+
+std::optional<Address>
+HttpServer::Listen(const Address& aAddress, Core::LastReason& aReason)
+{
+  socket_ =
+    evhttp_bind_socket_with_handle(http_, aAddress.host.c_str(), aAddress.port);
+  if (socket_ == nullptr)
+    return aReason.Set("can't listen on " + aAddress.ToText());
+
+  const int descriptor = evhttp_bound_socket_get_fd(socket_);
+  // evhttp listens with a backlog of 128, too short for a crowd of callers.
+  ::listen(descriptor, kListenBacklog);
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &size);
+  return Address{ aAddress.host, ntohs(bound.sin_port) };
+}
+
+void
+HttpServer::Route(HttpMethod aMethod,
+                  const std::string& aPattern,
+                  HttpHandler aHandler)
+{
+  routes_.push_back({ aMethod, SplitPath(aPattern), std::move(aHandler) });
+}
+
+void
+HttpServer::SetMaxBodyBytes(std::size_t aBytes)
+{
+  maxBodyBytes_ = aBytes;
+  evhttp_set_max_body_size(http_,
+                           static_cast<ev_ssize_t>(aBytes * kBodyLimitSlack));
+}
+
+void
+HttpServer::OnConnectionClosed(std::function<void(ConnectionNumber)> aListener)
+{
+  closedListener_ = std::move(aListener);
+}
+
+void
+HttpServer::Drain()
+{
+  draining_ = true;
+  if (socket_ != nullptr)
+    evhttp_del_accept_socket(http_, std::exchange(socket_, nullptr));
+}
+
+void
+HttpServer::OnRequest(evhttp_request* aRequest, void* aSelf)
+{
+  static_cast<HttpServer*>(aSelf)->Dispatch(aRequest);
+}
+
+void
+HttpServer::OnClosed(evhttp_connection* aConnection, void* aSelf)
+{
+  auto* self = static_cast<HttpServer*>(aSelf);
+  const auto found = self->connections_.find(aConnection);
+  if (found == self->connections_.end())
+    return;
+  const ConnectionNumber number = found->second;
+  self->connections_.erase(found);
+  if (self->closedListener_)
+    self->closedListener_(number);
+}
+
+ConnectionNumber
+HttpServer::NumberOf(evhttp_connection* aConnection)
+{
+  const auto [entry, isNew] =
+    connections_.try_emplace(aConnection, lastConnection_ + 1);
+  if (isNew) {
+    ++lastConnection_;
+    evhttp_connection_set_closecb(aConnection, &HttpServer::OnClosed, this);
+  }
+  return entry->second;
+}
+
+bool
+HttpServer::ReadRequest(evhttp_request* aRequest, HttpRequest& aResult) const
+{
+  const auto method = MethodOf(aRequest);
+  const char* path =
+    evhttp_uri_get_path(evhttp_request_get_evhttp_uri(aRequest));
+  if (!method || path == nullptr)
+    return false;
+  aResult.method = *method;
+  aResult.path = path;
+  aResult.authorization = HeaderOf(aRequest, "Authorization");
+  aResult.sender = HeaderOf(aRequest, kSenderHeader);
+
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  aResult.body.resize(evbuffer_get_length(input));
+  evbuffer_remove(input, aResult.body.data(), aResult.body.size());
+
+  const char* query =
+    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(aRequest));
+  if (query != nullptr) {
+    evkeyvalq pairs{};
+    evhttp_parse_query_str(query, &pairs);
+    for (const evkeyval* pair = pairs.tqh_first; pair != nullptr;
+         pair = pair->next.tqe_next)
+      aResult.query[pair->key] = pair->value;
+    evhttp_clear_headers(&pairs);
+  }
+  return true;
+}
+
+void
+HttpServer::Dispatch(evhttp_request* aRequest)
+{
+  HttpRequest request;
+  const bool readable = ReadRequest(aRequest, request);
+  request.connection = NumberOf(evhttp_request_get_connection(aRequest));
+  auto reply = std::make_shared<Reply>(*this, aRequest);
+  if (!readable) {
+    reply->Send(HttpAnswer::Error(HttpStatus::BadRequest,
+                                  "the request has no usable method or path"));
+    return;
+  }
+  if (request.body.size() > maxBodyBytes_) {
+    reply->Send(HttpAnswer::Error(HttpStatus::PayloadTooLarge,
+                                  "the body is longer than " +
+                                    std::to_string(maxBodyBytes_) + " bytes"));
+    return;
+  }
+  if (latency_ == Core::Duration::zero()) {
+    RunHandler(request, reply);
+    return;
+  }
+  loop_.Defer(
+    [this, alive = alive_, request = std::move(request), reply] {
+      if (*alive)
+        RunHandler(request, reply);
+    },
+    latency_);
+}
+
+void
+HttpServer::RunHandler(const HttpRequest& aRequest,
+                       const HttpReplyHandle& aReply)
+{
+  const std::vector<std::string> segments = SplitPath(aRequest.path);
+  for (const RouteEntry& route : routes_) {
+    if (route.method != aRequest.method)
+      continue;
+    auto captures = Match(route.segments, segments);
+    if (!captures)
+      continue;
+    HttpRequest matched = aRequest;
+    matched.captures = std::move(*captures);
+    route.handler(matched, aReply);
+    return;
+  }
+  aReply->Send(HttpAnswer::Error(
+    HttpStatus::NotFound,
+    "nothing answers " + std::string(kHttpMethodNames.NameOf(aRequest.method)) +
+      ' ' + aRequest.path));
+}
+
+void
+HttpServer::SendNow(evhttp_request* aRequest, const HttpAnswer& aAnswer)
+{
+  --inProgress_;
+  evkeyvalq* headers = evhttp_request_get_output_headers(aRequest);
+  evhttp_add_header(headers, "Content-Type", aAnswer.contentType.c_str());
+  if (aAnswer.retryAfterSeconds > 0) {
+    const std::string seconds = std::to_string(aAnswer.retryAfterSeconds);
+    evhttp_add_header(headers, "Retry-After", seconds.c_str());
+  }
+  if (draining_)
+    evhttp_add_header(headers, "Connection", "close");
+  evbuffer* body = evbuffer_new();
+  evbuffer_add(body, aAnswer.body.data(), aAnswer.body.size());
+  evhttp_send_reply(aRequest, aAnswer.status, nullptr, body);
+  evbuffer_free(body);
+}
+
+} // namespace Wire
--- /dev/null
+++ b/Libraries/LibWire/include/LibWire/HttpServer.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <LibCore/LastReason.h>
+#include <LibCore/Loop.h>
+#include <LibWire/Address.h>
+#include <LibWire/HttpMessage.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace Wire {
+
+using HttpHandler = std::function<void(const HttpRequest&, HttpReplyHandle)>;
+
+/** An HTTP server on one address, with routes and a stop that drains. */
+class HttpServer
+{
+public:
+  explicit HttpServer(Core::Loop& aLoop);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /** Listens on aAddress; port 0 takes a free one. Gives the address used. */
+  std::optional<Address> Listen(const Address& aAddress,
+                                Core::LastReason& aReason);
+
+  /**
+   * Sends requests for aPattern, such as "/v1/groups/{group}", to aHandler.
+   * A {placeholder} takes one whole path segment.
+   */
+  void Route(HttpMethod aMethod,
+             const std::string& aPattern,
+             HttpHandler aHandler);
+
+  /** Bodies above this get a 413; the default is 1 MiB. */
+  void SetMaxBodyBytes(std::size_t aBytes);
+
+  /** Holds each request and each answer back by aOneWay (for experiments). */
+  void SetEmulatedLatency(Core::Duration aOneWay) { latency_ = aOneWay; }
+
+  /** Called with the number of each connection that has gone. */
+  void OnConnectionClosed(std::function<void(ConnectionNumber)> aListener);
+
+  /** Takes no new connections and closes each one after its next answer. */
+  void Drain();
+
+  /** Requests that have come in and have not been answered. */
+  std::size_t InProgress() const { return inProgress_; }
+  std::size_t Connections() const { return connections_.size(); }
+
+private:
+  class Reply;
+  struct RouteEntry
+  {
+    HttpMethod method;
+    std::vector<std::string> segments;
+    HttpHandler handler;
+  };
+
+  static void OnRequest(evhttp_request* aRequest, void* aSelf);
+  static void OnClosed(evhttp_connection* aConnection, void* aSelf);
+  void Dispatch(evhttp_request* aRequest);
+  void RunHandler(const HttpRequest& aRequest, const HttpReplyHandle& aReply);
+  bool ReadRequest(evhttp_request* aRequest, HttpRequest& aResult) const;
+  ConnectionNumber NumberOf(evhttp_connection* aConnection);
+  void SendNow(evhttp_request* aRequest, const HttpAnswer& aAnswer);
+
+  Core::Loop& loop_;
+  evhttp* http_;
+  evhttp_bound_socket* socket_ = nullptr;
+  std::size_t maxBodyBytes_ = 0;
+  Core::Duration latency_{ 0 };
+  std::vector<RouteEntry> routes_;
+  std::unordered_map<evhttp_connection*, ConnectionNumber> connections_;
+  ConnectionNumber lastConnection_ = 0;
+  std::function<void(ConnectionNumber)> closedListener_;
+  std::size_t inProgress_ = 0;
+  bool draining_ = false;
+  /** Outlives the server in late replies, which then send nothing. */
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace Wire
--- /dev/null
+++ b/Meta/lint.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Checks the format and the lint rules of every source file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard '*.h' '*.cpp')
+clang-format --dry-run -Werror "${sources[@]}"
+cmake --preset release > /dev/null
+mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cpp$')
+printf '%s\n' "${units[@]}" |
+  xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p Build/release 2> /dev/null
--- /dev/null
+++ b/Services/Proxy/main.cpp
@@ -0,0 +1,30 @@
+#include <LibCore/Log.h>
+#include <LibProxy/ProxyServer.h>
+#include <LibSettings/DaemonArguments.h>
+
+#include <csignal>
+#include <iostream>
+
+int
+main(int aCount, char** aValues)
+{
+  int exitCode = 0;
+  const auto settings = Settings::ReadDaemonArguments(
+    "mastichold's data path: serves callers", aCount, aValues, exitCode);
+  if (!settings)
+    return exitCode;
+
+  Core::StartLog("proxy " + settings->Text("node.name"));
+  Core::Loop loop;
+  Proxy::ProxyServer server(loop, *settings);
+  Core::LastReason reason;
+  if (!server.Start(reason)) {
+    std::cerr << reason.Text() << '\n';
+    return 1;
+  }
+  loop.OnSignal(SIGTERM, [&server] { server.Stop(); });
+  loop.OnSignal(SIGINT, [&server] { server.Stop(); });
+  Core::LogChange("started");
+  loop.Run();
+  return 0;
+}
--- /dev/null
+++ b/Services/StandInDatabase/DatabaseServer.cpp
@@ -0,0 +1,524 @@
+#include "DatabaseServer.h"
+
+#include <LibCore/Log.h>
+#include <LibCore/Random.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace StandIn {
+
+namespace {
+
+using Wire::HttpAnswer;
+using Wire::HttpMethod;
+using Wire::HttpReplyHandle;
+using Wire::HttpRequest;
+using Wire::HttpStatus;
+
+constexpr std::int64_t kMostInteger = std::numeric_limits<std::int64_t>::max();
+constexpr std::size_t kMostEntriesABatch = 500;
+constexpr Core::Duration kLogPollWait = std::chrono::milliseconds(400);
+constexpr int kIdentityDigits = 16;
+
+std::uint64_t
+QueryNumber(const HttpRequest& aRequest, const std::string& aName)
+{
+  const auto found = aRequest.query.find(aName);
+  if (found == aRequest.query.end())
+    return 0;
+  return std::strtoull(found->second.c_str(), nullptr, 10);
+}
+
+std::vector<SqlStatement>
+ReadStatements(const boost::json::array* aArray, Core::Findings& aFindings)
+{
+  std::vector<SqlStatement> statements;
+  if (aArray == nullptr)
+    return statements;
+  for (std::size_t i = 0; i < aArray->size(); ++i) {
+    const std::string place = "/statements/" + std::to_string(i);
+    const boost::json::object* object = (*aArray)[i].if_object();
+    if (object == nullptr) {
+      aFindings.Add(place, "must be an object");
+      continue;
+    }
+    Wire::FieldReader reader(*object, aFindings, place);
+    SqlStatement statement;
+    statement.sql = reader.String("sql");
+    if (const auto* parameters = reader.OptionalArray("params"))
+      statement.parameters = *parameters;
+    statements.push_back(std::move(statement));
+  }
+  return statements;
+}
+
+} // namespace
+
+DatabaseServer::DatabaseServer(Core::Loop& aLoop, DatabaseOptions aOptions)
+  : loop_(aLoop)
+  , options_(std::move(aOptions))
+  , server_(aLoop)
+  , client_(aLoop, options_.name)
+  , engine_(options_.directory + '/' + options_.name + ".data", options_.schema)
+{
+}
+
+std::optional<Wire::Address>
+DatabaseServer::Start(Core::LastReason& aReason)
+{
+  if (!OpenFiles(aReason))
+    return std::nullopt;
+  runner_ = std::make_unique<ExchangeRunner>(loop_, options_, *state_, engine_);
+  runner_->OnCommit([this] { NotifyChange(); });
+  follower_ = std::make_unique<LogFollower>(loop_, client_, *state_, faults_);
+  follower_->OnBatch([this](const LogBatch& aBatch) { TakeBatch(aBatch); });
+  server_.OnConnectionClosed([this](Wire::ConnectionNumber aConnection) {
+    runner_->CloseClient(aConnection);
+  });
+  server_.SetEmulatedLatency(options_.latency);
+  AddRoutes();
+  return server_.Listen(options_.listen, aReason);
+}
+
+bool
+DatabaseServer::OpenFiles(Core::LastReason& aReason)
+{
+  LogFile::Contents contents =
+    LogFile::Open(options_.directory + '/' + options_.name + ".log", file_);
+  if (!contents.existed) {
+    contents.meta.identity = Core::Random::FromSystem().Hex(kIdentityDigits);
+    contents.meta.joining = !options_.isFounder;
+    file_.SaveMeta(contents.meta);
+  }
+  state_ = std::make_unique<ReplicaState>(
+    contents.meta, std::move(contents.log), file_);
+  if (!engine_.Rebuild(aReason))
+    return false;
+  for (const LogEntry& entry : state_->Entries()) {
+    if (!engine_.Apply(entry.payload, aReason))
+      return false;
+  }
+  return true;
+}
+
+void
+DatabaseServer::AddRoutes()
+{
+  Route(HttpMethod::Post,
+        "/v1/connect",
+        [this](const HttpRequest& aRequest, const HttpReplyHandle& aReply) {
+          Connect(aRequest, aReply);
+        });
+  RouteJson("/v1/exchange",
+            [this](const HttpRequest& aRequest,
+                   Wire::FieldReader& aReader,
+                   const HttpReplyHandle& aReply) {
+              RunExchange(aRequest, aReader, aReply);
+            });
+  Route(HttpMethod::Get,
+        "/v1/control/status",
+        [this](const HttpRequest& aRequest, const HttpReplyHandle& aReply) {
+          GetStatus(aRequest, aReply);
+        });
+  Route(HttpMethod::Get,
+        "/v1/control/log",
+        [this](const HttpRequest& aRequest, const HttpReplyHandle& aReply) {
+          GetLog(aRequest, aReply);
+        });
+  RouteJson("/v1/control/fence",
+            [this](const HttpRequest&,
+                   Wire::FieldReader& aReader,
+                   const HttpReplyHandle& aReply) { Fence(aReader, aReply); });
+  RouteJson(
+    "/v1/control/promote",
+    [this](const HttpRequest&,
+           Wire::FieldReader& aReader,
+           const HttpReplyHandle& aReply) { Promote(aReader, aReply); });
+  RouteJson("/v1/control/follow",
+            [this](const HttpRequest&,
+                   Wire::FieldReader& aReader,
+                   const HttpReplyHandle& aReply) { Follow(aReader, aReply); });
+  server_.Route(
+    HttpMethod::Post,
+    "/faults",
+    [this](const HttpRequest& aRequest, const HttpReplyHandle& aReply) {
+      SetFaults(aRequest, aReply);
+    });
+}
+
+/** Passes an answer on unless a fault cuts its way out. */
+class FaultyReply final : public Wire::HttpReply
+{
+public:
+  FaultyReply(const Faults& aFaults,
+              std::string aSender,
+              Wire::ConnectionNumber aConnection,
+              HttpReplyHandle aInner)
+    : faults_(aFaults)
+    , sender_(std::move(aSender))
+    , connection_(aConnection)
+    , inner_(std::move(aInner))
+  {
+  }
+
+  void Send(HttpAnswer aAnswer) override
+  {
+    if (!faults_.DropsAnswer(sender_, connection_))
+      inner_->Send(std::move(aAnswer));
+  }
+
+private:
+  const Faults& faults_;
+  std::string sender_;
+  Wire::ConnectionNumber connection_;
+  HttpReplyHandle inner_;
+};
+
+void
+DatabaseServer::Route(HttpMethod aMethod,
+                      const std::string& aPattern,
+                      Wire::HttpHandler aHandler)
+{
+  server_.Route(
+    aMethod,
+    aPattern,
+    [this, handler = std::move(aHandler)](const HttpRequest& aRequest,
+                                          const HttpReplyHandle& aReply) {
+      if (faults_.DropsRequest(aRequest.sender, aRequest.connection))
+        return;
+      handler(aRequest,
+              std::make_shared<FaultyReply>(
+                faults_, aRequest.sender, aRequest.connection, aReply));
+    });
+}
+
+void
+DatabaseServer::RouteJson(const std::string& aPattern, JsonHandler aHandler)
+{
+  Route(HttpMethod::Post,
+        aPattern,
+        [handler = std::move(aHandler)](const HttpRequest& aRequest,
+                                        const HttpReplyHandle& aReply) {
+          Core::Findings findings;
+          const auto body = Wire::ParseObject(aRequest.body, findings);
+          if (body) {
+            Wire::FieldReader reader(*body, findings);
+            handler(aRequest, reader, aReply);
+          }
+          if (!findings.IsEmpty())
+            aReply->Send(HttpAnswer::Json(HttpStatus::BadRequest,
+                                          Wire::FindingsToJson(findings)));
+        });
+}
+
+void
+DatabaseServer::Connect(const HttpRequest& aRequest,
+                        const HttpReplyHandle& aReply)
+{
+  if (runner_->Clients() + connecting_ >= options_.connections) {
+    aReply->Send(HttpAnswer::Error(HttpStatus::ServiceUnavailable,
+                                   "too many connections"));
+    return;
+  }
+  ++connecting_;
+  loop_.Defer(
+    [this, connection = aRequest.connection, aReply] {
+      --connecting_;
+      runner_->OpenClient(connection);
+      aReply->Send(HttpAnswer::Json(
+        HttpStatus::Ok, boost::json::object{ { "database", options_.name } }));
+    },
+    options_.connectTime);
+}
+
+void
+DatabaseServer::RunExchange(const HttpRequest& aRequest,
+                            Wire::FieldReader& aReader,
+                            const HttpReplyHandle& aReply)
+{
+  Exchange exchange;
+  Core::Findings findings;
+  exchange.number =
+    static_cast<std::uint64_t>(aReader.Integer("exchange", 0, kMostInteger));
+  exchange.term = static_cast<Term>(
+    aReader.OptionalInteger("term", 0, kMostInteger).value_or(0));
+  exchange.begin = aReader.Boolean("begin", false);
+  exchange.commit = aReader.Boolean("commit", false);
+  exchange.rollback = aReader.Boolean("rollback", false);
+  exchange.readOnly = aReader.Boolean("read_only", false);
+  exchange.statements =
+    ReadStatements(aReader.OptionalArray("statements"), findings);
+  if (!findings.IsEmpty()) {
+    aReply->Send(
+      HttpAnswer::Json(HttpStatus::BadRequest, Wire::FindingsToJson(findings)));
+    return;
+  }
+  const std::uint64_t number = exchange.number;
+  runner_->Run(aRequest.connection,
+               std::move(exchange),
+               faults_.Slow(),
+               [this, aRequest, number, aReply](boost::json::object aAnswer) {
+                 AnswerExchange(aRequest, number, std::move(aAnswer), aReply);
+               });
+}
+
+void
+DatabaseServer::AnswerExchange(const HttpRequest& aRequest,
+                               std::uint64_t aNumber,
+                               boost::json::object aAnswer,
+                               const HttpReplyHandle& aReply)
+{
+  const boost::json::object report = Report();
+  for (const auto& field : report)
+    aAnswer[field.key()] = field.value();
+  aAnswer["exchange"] = aNumber;
+  HttpAnswer answer = HttpAnswer::Json(HttpStatus::Ok, aAnswer);
+  std::string own = answer.body;
+  if (faults_.TakeWrongAnswer() && !lastExchangeAnswer_.empty())
+    answer.body = lastExchangeAnswer_;
+  lastExchangeAnswer_ = std::move(own);
+  // A connection that closed while its statement ran has lost its client.
+  if (!runner_->IsOpen(aRequest.connection))
+    lastExchangeAnswer_.clear();
+  if (faults_.LateAnswers() == Core::Duration::zero()) {
+    aReply->Send(std::move(answer));
+    return;
+  }
+  loop_.Defer([aReply, answer] { aReply->Send(answer); },
+              faults_.LateAnswers());
+}
+
+boost::json::object
+DatabaseServer::Report() const
+{
+  const LogPosition log = state_->Log();
+  const ReplicaMeta& meta = state_->Meta();
+  return { { "database", options_.name },
+           { "identity", meta.identity },
+           { "role", kReplicaRoleNames.NameOf(state_->Role()) },
+           { "promised", meta.promised },
+           { "owner", meta.owner },
+           { "log_term", log.term },
+           { "position", log.position },
+           { "joining", meta.joining },
+           { "primary", state_->Primary() },
+           { "connections", runner_->Clients() } };
+}
+
+void
+DatabaseServer::GetStatus(const HttpRequest& aRequest,
+                          const HttpReplyHandle& aReply)
+{
+  const std::uint64_t position = QueryNumber(aRequest, "known_position");
+  const Term logTerm = QueryNumber(aRequest, "known_log_term");
+  const Term promised = QueryNumber(aRequest, "known_promised");
+  const Core::Duration wait =
+    std::chrono::milliseconds(QueryNumber(aRequest, "wait_ms"));
+  const auto report = [this] {
+    return HttpAnswer::Json(HttpStatus::Ok, Report());
+  };
+  AnswerOnChange(
+    wait,
+    aReply,
+    [this, position, logTerm, promised, report]() -> std::optional<HttpAnswer> {
+      const bool isKnown = state_->Log() == LogPosition{ logTerm, position } &&
+                           state_->Meta().promised == promised;
+      if (isKnown)
+        return std::nullopt;
+      return report();
+    },
+    report);
+}
+
+void
+DatabaseServer::GetLog(const HttpRequest& aRequest,
+                       const HttpReplyHandle& aReply)
+{
+  LogRequest wanted;
+  wanted.term = QueryNumber(aRequest, "term");
+  wanted.afterPosition = QueryNumber(aRequest, "after_position");
+  wanted.afterTerm = QueryNumber(aRequest, "after_term");
+  const auto answer = [this, wanted] {
+    const auto batch = state_->Serve(wanted, kMostEntriesABatch);
+    if (!batch)
+      return HttpAnswer::Error(HttpStatus::Conflict,
+                               "not the primary of that term");
+    return HttpAnswer::Json(HttpStatus::Ok, BatchToJson(*batch));
+  };
+  // The first request of a follower is answered at once, so that it learns
+  // where the term began even when there is nothing to send.
+  const bool isFirst = QueryNumber(aRequest, "first") != 0;
+  AnswerOnChange(
+    isFirst ? Core::Duration::zero() : kLogPollWait,
+    aReply,
+    [this, wanted, answer]() -> std::optional<HttpAnswer> {
+      const bool hasNews = wanted.afterPosition != state_->Log().position ||
+                           wanted.term != state_->Meta().promised ||
+                           !state_->IsPrimary();
+      if (!hasNews)
+        return std::nullopt;
+      return answer();
+    },
+    answer);
+}
+
+HttpAnswer
+DatabaseServer::ControlAnswer(bool aAccepted,
+                              const Core::LastReason& aReason) const
+{
+  boost::json::object body = Report();
+  body["accepted"] = aAccepted;
+  body["reason"] = aAccepted ? "" : aReason.Text();
+  return HttpAnswer::Json(HttpStatus::Ok, body);
+}
+
+void
+DatabaseServer::Fence(Wire::FieldReader& aReader, const HttpReplyHandle& aReply)
+{
+  const auto term = static_cast<Term>(aReader.Integer("term", 1, kMostInteger));
+  const std::string owner = aReader.String("owner");
+  const bool wasPrimary = state_->IsPrimary();
+  Core::LastReason reason;
+  const bool accepted = state_->Fence(term, owner, reason);
+  if (state_->Role() == ReplicaRole::Fenced)
+    follower_->Stop();
+  if (wasPrimary && !state_->IsPrimary()) {
+    Core::LogChange("fenced as primary", { { "term", term } });
+    runner_->AbortAll();
+  }
+  NotifyChange();
+  aReply->Send(ControlAnswer(accepted, reason));
+}
+
+void
+DatabaseServer::Promote(Wire::FieldReader& aReader,
+                        const HttpReplyHandle& aReply)
+{
+  const auto term = static_cast<Term>(aReader.Integer("term", 1, kMostInteger));
+  const std::string owner = aReader.String("owner");
+  Core::LastReason reason;
+  const bool accepted = state_->Promote(term, owner, reason);
+  if (accepted)
+    Core::LogChange("primary", { { "term", term } });
+  NotifyChange();
+  aReply->Send(ControlAnswer(accepted, reason));
+}
+
+void
+DatabaseServer::Follow(Wire::FieldReader& aReader,
+                       const HttpReplyHandle& aReply)
+{
+  const auto term = static_cast<Term>(aReader.Integer("term", 1, kMostInteger));
+  const std::string owner = aReader.String("owner");
+  const std::string primary = aReader.String("primary");
+  const std::string addressText = aReader.String("address");
+  Core::LastReason reason;
+  const auto address = Wire::Address::Parse(addressText, reason);
+  if (!address) {
+    aReply->Send(HttpAnswer::Error(HttpStatus::BadRequest, reason.Text()));
+    return;
+  }
+  const bool isNew = state_->Role() != ReplicaRole::Follower ||
+                     state_->Primary() != primary ||
+                     state_->Meta().promised != term;
+  const bool accepted = state_->Follow(term, owner, primary, reason);
+  if (accepted && isNew) {
+    Core::LogChange("follows", { { "term", term }, { "primary", primary } });
+    // A primary that became a follower must not finish what it had begun.
+    runner_->AbortAll();
+    follower_->Start(*address);
+  }
+  NotifyChange();
+  aReply->Send(ControlAnswer(accepted, reason));
+}
+
+void
+DatabaseServer::TakeBatch(const LogBatch& aBatch)
+{
+  const AcceptResult result = state_->Accept(aBatch);
+  if (!result.accepted)
+    return;
+  if (result.cut) {
+    RebuildData();
+  } else if (result.firstNew != 0) {
+    Core::LastReason reason;
+    for (std::uint64_t i = result.firstNew; i <= state_->Log().position; ++i)
+      engine_.Apply(state_->Entries()[i - 1].payload, reason);
+  }
+  NotifyChange();
+}
+
+void
+DatabaseServer::RebuildData()
+{
+  Core::LogChange("cut its divergent tail",
+                  { { "position", state_->Log().position } });
+  runner_->AbortAll();
+  Core::LastReason reason;
+  engine_.Rebuild(reason);
+  for (const LogEntry& entry : state_->Entries())
+    engine_.Apply(entry.payload, reason);
+  runner_->AbortAll();
+}
+
+void
+DatabaseServer::SetFaults(const HttpRequest& aRequest,
+                          const HttpReplyHandle& aReply)
+{
+  Core::Findings findings;
+  faults_.Set(aRequest.body, runner_->OpenConnections(), findings);
+  if (!findings.IsEmpty()) {
+    aReply->Send(
+      HttpAnswer::Json(HttpStatus::BadRequest, Wire::FindingsToJson(findings)));
+    return;
+  }
+  aReply->Send(HttpAnswer::Json(HttpStatus::Ok, Report()));
+}
+
+void
+DatabaseServer::AnswerOnChange(Core::Duration aWait,
+                               const HttpReplyHandle& aReply,
+                               std::function<std::optional<HttpAnswer>()> aTry,
+                               std::function<HttpAnswer()> aLast)
+{
+  if (auto answer = aTry()) {
+    aReply->Send(std::move(*answer));
+    return;
+  }
+  if (aWait == Core::Duration::zero()) {
+    aReply->Send(aLast());
+    return;
+  }
+  pollers_.push_back({ aReply, std::move(aTry), std::move(aLast), {} });
+  const auto poller = std::prev(pollers_.end());
+  poller->timer = loop_.After(aWait, [this, poller] {
+    const Poller expired = std::move(*poller);
+    pollers_.erase(poller);
+    expired.reply->Send(expired.last());
+  });
+}
+
+void
+DatabaseServer::NotifyChange()
+{
+  // Changes come in bursts; one pass after the burst answers everybody.
+  if (std::exchange(notifying_, true))
+    return;
+  loop_.Defer([this] {
+    notifying_ = false;
+    for (auto poller = pollers_.begin(); poller != pollers_.end();) {
+      auto answer = poller->attempt();
+      if (!answer) {
+        ++poller;
+        continue;
+      }
+      const HttpReplyHandle reply = poller->reply;
+      poller = pollers_.erase(poller);
+      reply->Send(std::move(*answer));
+    }
+  });
+}
+
+} // namespace StandIn
--- /dev/null
+++ b/Services/StandInPlatform/PlatformServer.cpp
@@ -0,0 +1,325 @@
+#include "PlatformServer.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <limits>
+#include <sstream>
+#include <utility>
+
+namespace StandIn {
+
+using Wire::HttpAnswer;
+using Wire::HttpMethod;
+using Wire::HttpReplyHandle;
+using Wire::HttpRequest;
+using Wire::HttpStatus;
+
+namespace {
+
+constexpr std::int64_t kHourMs = 3'600'000;
+constexpr std::int64_t kMost = std::numeric_limits<std::int64_t>::max();
+constexpr std::size_t kMaxBodyBytes = std::size_t{ 16 } << 20U;
+
+std::string
+QueryText(const HttpRequest& aRequest, const char* aName)
+{
+  const auto found = aRequest.query.find(aName);
+  return found == aRequest.query.end() ? "" : found->second;
+}
+
+std::uint64_t
+QueryNumber(const HttpRequest& aRequest, const char* aName)
+{
+  return std::strtoull(QueryText(aRequest, aName).c_str(), nullptr, 10);
+}
+
+HttpAnswer
+BadRequest(const Core::Findings& aFindings)
+{
+  return HttpAnswer::Json(HttpStatus::BadRequest,
+                          Wire::FindingsToJson(aFindings));
+}
+
+HttpAnswer
+BadRequest(const std::string& aText)
+{
+  return HttpAnswer::Error(HttpStatus::BadRequest, aText);
+}
+
+} // namespace
+
+PlatformServer::PlatformServer(Core::Loop& aLoop)
+  : loop_(aLoop)
+  , server_(aLoop)
+{
+  server_.SetMaxBodyBytes(kMaxBodyBytes);
+}
+
+std::optional<Wire::Address>
+PlatformServer::Start(const Wire::Address& aListen, Core::LastReason& aReason)
+{
+  AddRoutes();
+  return server_.Listen(aListen, aReason);
+}
+
+bool
+PlatformServer::LoadVms(const std::string& aPath, Core::LastReason& aReason)
+{
+  std::ifstream file(aPath);
+  std::ostringstream text;
+  text << file.rdbuf();
+  HttpRequest request;
+  request.body = text.str();
+  const HttpAnswer answer = SetVms(request);
+  if (answer.status == static_cast<int>(HttpStatus::Ok))
+    return true;
+  aReason.Set(answer.body);
+  return false;
+}
+
+void
+PlatformServer::Route(HttpMethod aMethod,
+                      const std::string& aPattern,
+                      Handler aHandler)
+{
+  server_.Route(
+    aMethod,
+    aPattern,
+    [this, handler = std::move(aHandler)](const HttpRequest& aRequest,
+                                          const HttpReplyHandle& aReply) {
+      if (isDown_) {
+        aReply->Send(HttpAnswer::Error(HttpStatus::ServiceUnavailable, "down"));
+        return;
+      }
+      const bool isWrite = aRequest.method != HttpMethod::Get;
+      ++(isWrite ? writes_ : reads_);
+      HttpAnswer answer = handler(aRequest);
+      if (isWrite && loseAnswers_ > 0) {
+        // The reply is dropped unsent: it took effect, and nobody hears.
+        --loseAnswers_;
+        return;
+      }
+      loop_.Defer([aReply, answer] { aReply->Send(answer); }, slow_);
+    });
+}
+
+void
+PlatformServer::AddRoutes()
+{
+  const auto bind = [this](HttpAnswer (PlatformServer::*aMethod)(
+                      const HttpRequest&)) -> Handler {
+    return [this, aMethod](const HttpRequest& aRequest) {
+      return (this->*aMethod)(aRequest);
+    };
+  };
+  Route(HttpMethod::Get, "/v1/table/rows", [this](const HttpRequest& aRequest) {
+    return ReadRow(aRequest);
+  });
+  Route(HttpMethod::Get, "/v1/table/scan", [this](const HttpRequest& aRequest) {
+    return Scan(aRequest);
+  });
+  Route(
+    HttpMethod::Post, "/v1/table/transactions", bind(&PlatformServer::Commit));
+  Route(HttpMethod::Get, "/v1/vms", [this](const HttpRequest& aRequest) {
+    return List(aRequest);
+  });
+  Route(
+    HttpMethod::Get, "/v1/objects/{name}", [this](const HttpRequest& aRequest) {
+      const auto found = objects_.find(aRequest.captures[0]);
+      if (found == objects_.end())
+        return HttpAnswer::Error(HttpStatus::NotFound, "no such object");
+      HttpAnswer answer;
+      answer.status = static_cast<int>(HttpStatus::Ok);
+      answer.body = found->second;
+      answer.contentType = "application/octet-stream";
+      return answer;
+    });
+  Route(
+    HttpMethod::Put, "/v1/objects/{name}", [this](const HttpRequest& aRequest) {
+      objects_[aRequest.captures[0]] = aRequest.body;
+      return HttpAnswer::Json(HttpStatus::Ok, boost::json::object{});
+    });
+  const auto admin =
+    [this](const std::string& aPattern,
+           HttpAnswer (PlatformServer::*aMethod)(const HttpRequest&)) {
+      server_.Route(HttpMethod::Post,
+                    aPattern,
+                    [this, aMethod](const HttpRequest& aRequest,
+                                    const HttpReplyHandle& aReply) {
+                      aReply->Send((this->*aMethod)(aRequest));
+                    });
+    };
+  admin("/v1/vms", &PlatformServer::SetVms);
+  admin("/v1/vms/state", &PlatformServer::SetVmState);
+  admin("/faults", &PlatformServer::SetFaults);
+}
+
+HttpAnswer
+PlatformServer::ReadRow(const HttpRequest& aRequest) const
+{
+  const std::string key = QueryText(aRequest, "key");
+  const auto found = rows_.find(key);
+  boost::json::object row{ { "key", key }, { "version", 0 } };
+  if (found != rows_.end()) {
+    row["version"] = found->second.version;
+    row["value"] = found->second.value;
+  }
+  return HttpAnswer::Json(
+    HttpStatus::Ok,
+    boost::json::object{ { "rows", boost::json::array{ row } } });
+}
+
+HttpAnswer
+PlatformServer::Scan(const HttpRequest& aRequest) const
+{
+  const std::string prefix = QueryText(aRequest, "prefix");
+  const std::size_t most = QueryNumber(aRequest, "most");
+  boost::json::array rows;
+  for (auto row = rows_.lower_bound(prefix);
+       row != rows_.end() && row->first.starts_with(prefix);
+       ++row)
+    rows.push_back(boost::json::object{ { "key", row->first },
+                                        { "version", row->second.version },
+                                        { "value", row->second.value } });
+  if (rows.size() > most)
+    rows.erase(rows.begin(),
+               rows.begin() + static_cast<std::ptrdiff_t>(rows.size() - most));
+  return HttpAnswer::Json(HttpStatus::Ok,
+                          boost::json::object{ { "rows", std::move(rows) } });
+}
+
+HttpAnswer
+PlatformServer::Commit(const HttpRequest& aRequest)
+{
+  Core::Findings findings;
+  const auto body = Wire::ParseObject(aRequest.body, findings);
+  if (!body)
+    return BadRequest(findings);
+  Wire::FieldReader reader(*body, findings);
+  const boost::json::array* conditions = reader.OptionalArray("conditions");
+  const boost::json::array* puts = reader.OptionalArray("puts");
+  if (conditions == nullptr || puts == nullptr)
+    return BadRequest("conditions and puts must be arrays");
+  boost::json::array conflicts;
+  for (const boost::json::value& item : *conditions) {
+    Wire::FieldReader condition(item.as_object(), findings);
+    const std::string key = condition.String("key");
+    const auto version =
+      static_cast<std::uint64_t>(condition.Integer("version", 0, kMost));
+    const auto found = rows_.find(key);
+    const std::uint64_t present =
+      found == rows_.end() ? 0 : found->second.version;
+    if (present != version)
+      conflicts.emplace_back(key);
+  }
+  if (!conflicts.empty())
+    return HttpAnswer::Json(
+      HttpStatus::Conflict,
+      boost::json::object{ { "conflicts", std::move(conflicts) } });
+  for (const boost::json::value& item : *puts) {
+    Wire::FieldReader put(item.as_object(), findings);
+    Row& row = rows_[put.String("key")];
+    ++row.version;
+    row.value = item.as_object().at("value");
+  }
+  return HttpAnswer::Json(HttpStatus::Ok, boost::json::object{});
+}
+
+HttpAnswer
+PlatformServer::List(const HttpRequest& aRequest) const
+{
+  const bool isKnown = QueryNumber(aRequest, "known") == shownVersion_;
+  boost::json::object body =
+    isKnown ? Membership::VmList{}.ToJson() : shownList_.ToJson();
+  body["version"] = shownVersion_;
+  return HttpAnswer::Json(HttpStatus::Ok, body);
+}
+
+HttpAnswer
+PlatformServer::SetVms(const HttpRequest& aRequest)
+{
+  Core::Findings findings;
+  const auto body = Wire::ParseObject(aRequest.body, findings);
+  if (!body)
+    return BadRequest(findings);
+  Core::LastReason reason;
+  auto list = Membership::VmList::FromJson(*body, reason);
+  if (!list)
+    return BadRequest(reason.Text());
+  list_ = std::move(*list);
+  PublishList();
+  return HttpAnswer::Json(HttpStatus::Ok, boost::json::object{});
+}
+
+HttpAnswer
+PlatformServer::SetVmState(const HttpRequest& aRequest)
+{
+  Core::Findings findings;
+  const auto body = Wire::ParseObject(aRequest.body, findings);
+  if (!body)
+    return BadRequest(findings);
+  Wire::FieldReader reader(*body, findings);
+  const std::string name = reader.String("name");
+  const std::string stateName = reader.String("state");
+  const auto state = Membership::kVmStateNames.ValueOf(stateName);
+  if (!state && stateName != "gone")
+    findings.Add("/state", "must be live, leaving or gone");
+  if (!findings.IsEmpty())
+    return BadRequest(findings);
+  const auto isNamed = [&name](const auto& aVm) { return aVm.name == name; };
+  const auto setState = [&](auto& aVms) {
+    if (!state) {
+      std::erase_if(aVms, isNamed);
+      return;
+    }
+    for (auto& vm : aVms) {
+      if (isNamed(vm))
+        vm.state = *state;
+    }
+  };
+  setState(list_.members);
+  setState(list_.databases);
+  PublishList();
+  return HttpAnswer::Json(HttpStatus::Ok, boost::json::object{});
+}
+
+void
+PlatformServer::PublishList()
+{
+  loop_.Defer(
+    [this, list = list_] {
+      shownList_ = list;
+      ++shownVersion_;
+    },
+    listLag_);
+}
+
+HttpAnswer
+PlatformServer::SetFaults(const HttpRequest& aRequest)
+{
+  Core::Findings findings;
+  const auto body = Wire::ParseObject(aRequest.body, findings);
+  if (!body)
+    return BadRequest(findings);
+  Wire::FieldReader reader(*body, findings);
+  const bool down = reader.Boolean("down", isDown_);
+  const auto slow = reader.OptionalInteger("slow_ms", 0, kHourMs);
+  const auto lag = reader.OptionalInteger("list_lag_ms", 0, kHourMs);
+  const auto lose = reader.OptionalInteger("lose_answers", 0, kMost);
+  reader.RejectOthers();
+  if (!findings.IsEmpty())
+    return BadRequest(findings);
+  isDown_ = down;
+  if (slow)
+    slow_ = std::chrono::milliseconds(*slow);
+  if (lag)
+    listLag_ = std::chrono::milliseconds(*lag);
+  if (lose)
+    loseAnswers_ = *lose;
+  return HttpAnswer::Json(
+    HttpStatus::Ok,
+    boost::json::object{ { "reads", reads_ }, { "writes", writes_ } });
+}
+
+} // namespace StandIn
--- /dev/null
+++ b/Tests/LibAdmission/TestWeightedQueue.cpp
@@ -0,0 +1,96 @@
+#define BOOST_TEST_MODULE WeightedQueue
+#include <LibAdmission/RetryBudget.h>
+#include <LibAdmission/WeightedQueue.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace Admission;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kLongest = 100;
+
+Ticket
+Make(std::uint64_t aNumber,
+     const std::string& aKind,
+     std::int64_t aWeight,
+     Core::Instant aDeadline = Core::Instant(std::chrono::hours(1)))
+{
+  return { aNumber, aKind, aWeight, aDeadline };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(KindsShareByWeightAndNoneStarves)
+{
+  WeightedQueue queue({ QueueOrder::Weighted, kLongest, 1 });
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    queue.Offer(Make(i * 2, "light", 1), {});
+    queue.Offer(Make(i * 2 + 1, "heavy", 4), {});
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 40; ++i)
+    ++served[queue.Next()->kind];
+  BOOST_TEST(served["heavy"] >= 31);
+  BOOST_TEST(served["light"] >= 7);
+}
+
+BOOST_AUTO_TEST_CASE(ArrivalOrderIsPlain)
+{
+  WeightedQueue queue({ QueueOrder::Arrival, kLongest, 1 });
+  queue.Offer(Make(1, "light", 1), {});
+  queue.Offer(Make(2, "heavy", 9), {});
+  BOOST_TEST(queue.Next()->number == 1U);
+  BOOST_TEST(queue.Next()->number == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(WhatCantMeetItsDeadlineIsRefusedAtTheDoor)
+{
+  WeightedQueue queue({ QueueOrder::Arrival, kLongest, 1 });
+  for (std::uint64_t i = 0; i < 50; ++i)
+    queue.Offer(Make(i, "k", 1), {});
+  const auto refusal =
+    queue.Offer(Make(99, "k", 1, Core::Instant(milliseconds(20))), {});
+  BOOST_REQUIRE(refusal);
+  BOOST_TEST(refusal->number == 99U);
+  BOOST_TEST(refusal->retryAfter.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(AFullQueueShedsTheLightest)
+{
+  WeightedQueue queue({ QueueOrder::Weighted, 2, 1 });
+  queue.Offer(Make(1, "light", 1), {});
+  queue.Offer(Make(2, "middle", 5), {});
+  const auto shed = queue.Offer(Make(3, "heavy", 9), {});
+  BOOST_REQUIRE(shed);
+  BOOST_TEST(shed->number == 1U);
+  const auto refused = queue.Offer(Make(4, "light", 1), {});
+  BOOST_REQUIRE(refused);
+  BOOST_TEST(refused->number == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(ExpiredTicketsAreHandedBack)
+{
+  WeightedQueue queue({ QueueOrder::Weighted, kLongest, 1 });
+  queue.Offer(Make(1, "k", 1, Core::Instant(milliseconds(50))), {});
+  BOOST_TEST(queue.Expire(Core::Instant(milliseconds(49))).empty());
+  const auto expired = queue.Expire(Core::Instant(milliseconds(50)));
+  BOOST_REQUIRE(expired.size() == 1U);
+  BOOST_TEST(queue.Length() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RetriesStayAShareOfFirstAttempts)
+{
+  RetryBudget budget(10);
+  int retries = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    budget.RecordFirstAttempt();
+    while (budget.TryRetry())
+      ++retries;
+  }
+  BOOST_TEST(retries >= 1000);
+  BOOST_TEST(retries <= 1010);
+}
--- /dev/null
+++ b/Tests/LibFailover/TestGroupWatch.cpp
@@ -0,0 +1,138 @@
+#define BOOST_TEST_MODULE GroupWatch
+#include <LibFailover/GroupWatch.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Failover;
+using std::chrono::milliseconds;
+
+namespace {
+
+DatabaseReport
+Report(Term aTerm, bool aIsPrimary, std::uint64_t aPosition = 10)
+{
+  DatabaseReport report;
+  report.identity = "x";
+  report.promised = aTerm;
+  report.owner = "p#1";
+  report.log = { aTerm, aPosition };
+  report.isPrimary = aIsPrimary;
+  report.follows = aIsPrimary ? "" : "a";
+  return report;
+}
+
+/** A watch, driven by hand in steps of 25 ms. */
+struct Fixture
+{
+  Core::ManualClock clock;
+  GroupWatch watch{ { "a", "b", "c" }, "hobart", {}, clock.Now() };
+  std::vector<WatchAction> actions;
+
+  void Answer(const std::string& aName, const DatabaseReport& aReport)
+  {
+    watch.OnReport(aName, aReport, clock.Now(), clock.Now());
+  }
+  /** Passes aTime while the named databases answer. */
+  void Run(milliseconds aTime, const std::string& aAnswering)
+  {
+    for (milliseconds past{ 0 }; past < aTime; past += milliseconds(25)) {
+      clock.Advance(milliseconds(25));
+      for (const char name : aAnswering)
+        Answer(std::string(1, name), Report(1, name == 'a'));
+      const WatchAction action = watch.Tick(clock.Now());
+      if (action.step != WatchStep::None)
+        actions.push_back(action);
+    }
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(AHealthyGroupIsLeftAlone, Fixture)
+{
+  Run(milliseconds(10'000), "abc");
+  BOOST_TEST(actions.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ASilentPrimaryNeedsASecondOpinionFromElsewhere, Fixture)
+{
+  Run(milliseconds(1000), "abc");
+  Run(milliseconds(600), "bc");
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_CHECK(actions[0].step == WatchStep::AskOpinions);
+  BOOST_TEST(actions[0].primary == "a");
+  // One of the same data centre may be cut off together with this one.
+  BOOST_CHECK(
+    watch.OnOpinions({ { "hobart", true } }, true, clock.Now()).step ==
+    WatchStep::None);
+  Run(milliseconds(200), "bc");
+  const auto action = watch.OnOpinions(
+    { { "hobart", true }, { "devonport", true } }, true, clock.Now());
+  BOOST_CHECK(action.step == WatchStep::Promote);
+  BOOST_TEST(action.term == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(OthersWhoHearThePrimaryPreventAPromotion, Fixture)
+{
+  Run(milliseconds(1000), "abc");
+  Run(milliseconds(600), "bc");
+  BOOST_CHECK(watch
+                .OnOpinions({ { "devonport", false }, { "huonville", true } },
+                            true,
+                            clock.Now())
+                .step == WatchStep::None);
+}
+
+BOOST_FIXTURE_TEST_CASE(SilenceOfOthersIsNoAgreement, Fixture)
+{
+  Run(milliseconds(1000), "abc");
+  Run(milliseconds(600), "bc");
+  BOOST_CHECK(watch.OnOpinions({}, true, clock.Now()).step == WatchStep::None);
+}
+
+BOOST_FIXTURE_TEST_CASE(APauseOfItsOwnIsNotThePrimarysSilence, Fixture)
+{
+  Run(milliseconds(1000), "abc");
+  clock.Advance(milliseconds(5000));
+  BOOST_CHECK(watch.Tick(clock.Now()).step == WatchStep::None);
+  Run(milliseconds(1000), "abc");
+  BOOST_TEST(actions.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(SingleLostProbesDoNothing, Fixture)
+{
+  for (int i = 0; i < 100; ++i) {
+    Run(milliseconds(100), "abc");
+    Run(milliseconds(100), "bc");
+  }
+  BOOST_TEST(actions.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AGroupThatHasNoPrimaryGetsOne, Fixture)
+{
+  for (int i = 0; i < 20; ++i) {
+    clock.Advance(milliseconds(25));
+    for (const char* name : { "a", "b" })
+      Answer(name, Report(0, false));
+    const WatchAction action = watch.Tick(clock.Now());
+    if (action.step != WatchStep::None)
+      actions.push_back(action);
+  }
+  BOOST_REQUIRE(!actions.empty());
+  BOOST_CHECK(actions[0].step == WatchStep::Promote);
+  BOOST_TEST(actions[0].term == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOldPrimaryIsPointedAtTheNew, Fixture)
+{
+  Answer("a", Report(1, true));
+  Answer("b", Report(2, true));
+  DatabaseReport follower = Report(2, false);
+  follower.follows = "b";
+  Answer("c", follower);
+  const auto orders = watch.Repoint(clock.Now());
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].database == "a");
+  BOOST_TEST(orders[0].primary == "b");
+  BOOST_TEST(orders[0].term == 2U);
+}
--- /dev/null
+++ b/Tests/LibFailover/TestPromotion.cpp
@@ -0,0 +1,124 @@
+#define BOOST_TEST_MODULE Promotion
+#include <LibFailover/Promotion.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Failover;
+
+namespace {
+
+ControlAnswer
+Promised(LogPosition aLog, bool aIsJoining = false)
+{
+  ControlAnswer answer;
+  answer.isAccepted = true;
+  answer.report.log = aLog;
+  answer.report.promised = 5;
+  answer.report.isJoining = aIsJoining;
+  return answer;
+}
+
+ControlAnswer
+Refused(Term aPromised)
+{
+  ControlAnswer answer;
+  answer.reason = "promised";
+  answer.report.promised = aPromised;
+  return answer;
+}
+
+Promotion
+Make(const PromotionOptions& aOptions = { 5, "me", "", {}, false })
+{
+  return Promotion({ "a", "b", "c" }, aOptions);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ChoosesTheFurthestByTermThenPosition)
+{
+  Promotion promotion = Make();
+  BOOST_TEST(promotion.Start().size() == 3U);
+  promotion.OnFence("a", Promised({ 2, 90 }));
+  promotion.OnFence("b", Promised({ 3, 10 }));
+  const auto actions = promotion.OnFence("c", Promised({ 3, 11 }));
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_CHECK(actions[0].step == PromotionStep::Promote);
+  BOOST_TEST(actions[0].database == "c");
+}
+
+BOOST_AUTO_TEST_CASE(AMajorityAndAMomentAreEnough)
+{
+  Promotion promotion = Make();
+  promotion.Start();
+  BOOST_TEST(promotion.OnFence("a", Promised({ 2, 9 })).empty());
+  const auto actions = promotion.OnFence("b", Promised({ 2, 8 }));
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_CHECK(actions[0].step == PromotionStep::AwaitGrace);
+  BOOST_TEST(promotion.OnGraceOver()[0].database == "a");
+}
+
+BOOST_AUTO_TEST_CASE(AMinorityPromotesNobody)
+{
+  Promotion promotion = Make();
+  promotion.Start();
+  promotion.OnFence("a", Promised({ 2, 9 }));
+  promotion.OnFence("b", std::nullopt);
+  const auto actions = promotion.OnFence("c", Refused(8));
+  BOOST_CHECK(actions[0].step == PromotionStep::Finish);
+  BOOST_TEST(!promotion.HasSucceeded());
+  BOOST_TEST(promotion.HighestTerm() == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(ADatabaseThatLostItsFileHasNoVote)
+{
+  Promotion promotion = Make();
+  promotion.Start();
+  promotion.OnFence("a", Promised({ 2, 9 }));
+  promotion.OnFence("b", Promised({ 2, 9 }, true));
+  const auto actions = promotion.OnFence("c", std::nullopt);
+  BOOST_CHECK(actions[0].step == PromotionStep::Finish);
+  BOOST_TEST(!promotion.HasSucceeded());
+}
+
+BOOST_AUTO_TEST_CASE(AnUnansweredPromotionTriesNobodyElseInItsTerm)
+{
+  Promotion promotion = Make();
+  promotion.Start();
+  promotion.OnFence("a", Promised({ 2, 9 }));
+  promotion.OnFence("b", Promised({ 2, 8 }));
+  promotion.OnGraceOver();
+  const auto actions = promotion.OnPromote(std::nullopt);
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_CHECK(actions[0].step == PromotionStep::Finish);
+  BOOST_TEST(!promotion.HasSucceeded());
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingDatabaseIsChosenOnlyWhenItAloneIsFurthest)
+{
+  Promotion promotion = Make({ 5, "me", "a", { "a" }, false });
+  promotion.Start();
+  promotion.OnFence("a", Promised({ 2, 9 }));
+  promotion.OnFence("b", Promised({ 2, 9 }));
+  BOOST_TEST(promotion.OnFence("c", std::nullopt)[0].database == "b");
+
+  Promotion other = Make({ 5, "me", "a", { "a" }, false });
+  other.Start();
+  other.OnFence("a", Promised({ 2, 10 }));
+  other.OnFence("b", Promised({ 2, 9 }));
+  BOOST_TEST(other.OnFence("c", std::nullopt)[0].database == "a");
+}
+
+BOOST_AUTO_TEST_CASE(TheOthersAreToldToFollow)
+{
+  Promotion promotion = Make();
+  promotion.Start();
+  promotion.OnFence("a", Promised({ 2, 9 }));
+  promotion.OnFence("b", Promised({ 2, 8 }));
+  promotion.OnGraceOver();
+  const auto actions = promotion.OnPromote(Promised({ 5, 9 }));
+  BOOST_REQUIRE(actions.size() == 3U);
+  BOOST_TEST(actions[0].database == "b");
+  BOOST_TEST(actions[1].database == "c");
+  BOOST_TEST(promotion.HasSucceeded());
+}
--- /dev/null
+++ b/Tests/LibRequest/TestWriteFlow.cpp
@@ -0,0 +1,143 @@
+#define BOOST_TEST_MODULE WriteFlow
+#include <LibRequest/WriteFlow.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Request;
+using Endpoint::BatchAnswer;
+using Endpoint::BatchStatus;
+
+namespace {
+
+BatchAnswer
+Answer(BatchStatus aStatus, LogPosition aLog = { 1, 5 })
+{
+  BatchAnswer answer;
+  answer.status = aStatus;
+  answer.report.emplace();
+  answer.report->log = aLog;
+  return answer;
+}
+
+WriteFlow
+Sent(const WriteRules& aRules = {})
+{
+  WriteFlow flow(aRules);
+  flow.Start(1);
+  flow.OnSent();
+  return flow;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(OkNeedsConfirmation)
+{
+  WriteFlow flow = Sent();
+  const WriteAction action = flow.OnBatch(Answer(BatchStatus::Ok), false, true);
+  BOOST_CHECK(action.step == WriteStep::AwaitConfirmation);
+  BOOST_TEST(action.position.ToText() == "1:5");
+  BOOST_CHECK(flow.OnConfirmed().step == WriteStep::Finish);
+  BOOST_CHECK(flow.Result().outcome == Outcome::Ok);
+}
+
+BOOST_AUTO_TEST_CASE(UnconfirmedAtTheDeadlineIsPending)
+{
+  WriteFlow flow = Sent();
+  flow.OnBatch(Answer(BatchStatus::Ok), false, true);
+  flow.OnDeadline();
+  BOOST_CHECK(flow.Result().outcome == Outcome::Pending);
+}
+
+BOOST_AUTO_TEST_CASE(SentAndUnansweredAtTheDeadlineIsPending)
+{
+  WriteFlow flow = Sent();
+  flow.OnDeadline();
+  BOOST_CHECK(flow.Result().outcome == Outcome::Pending);
+}
+
+BOOST_DATA_TEST_CASE(ARefusalAtTheDoorIsFreeForAFirstAttemptOnly,
+                     boost::unit_test::data::make({ true, false }),
+                     isFirst)
+{
+  WriteRules rules;
+  rules.isFirstAttempt = isFirst;
+  WriteFlow flow(rules);
+  flow.Start(1);
+  flow.OnRefused("no slot");
+  BOOST_CHECK(flow.Result().outcome ==
+              (isFirst ? Outcome::NotRun : Outcome::Pending));
+}
+
+BOOST_AUTO_TEST_CASE(AnUnknownEndIsSentAgainUnderTheLedger)
+{
+  WriteFlow flow = Sent();
+  BOOST_CHECK(flow.OnBatch(Answer(BatchStatus::Unknown), false, true).step ==
+              WriteStep::AwaitPrimary);
+  BOOST_CHECK(flow.OnPrimary(2).step == WriteStep::SendOriginal);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutARetryATombstoneSettlesIt)
+{
+  WriteFlow flow = Sent();
+  flow.OnBatch(Answer(BatchStatus::Unknown), false, false);
+  BOOST_CHECK(flow.OnPrimary(2).step == WriteStep::SendTombstone);
+  flow.OnSent();
+  // A tombstone counts only when it is confirmed like a write.
+  BOOST_CHECK(
+    flow.OnBatch(Answer(BatchStatus::Ok, { 2, 9 }), false, true).step ==
+    WriteStep::AwaitConfirmation);
+  flow.OnConfirmed();
+  BOOST_CHECK(flow.Result().outcome == Outcome::NotRun);
+}
+
+BOOST_AUTO_TEST_CASE(ALedgerHitIsLookedUpAndFreshlyConfirmed)
+{
+  WriteFlow flow = Sent();
+  BOOST_CHECK(
+    flow.OnBatch(Answer(BatchStatus::StatementFailed), true, true).step ==
+    WriteStep::LookUp);
+  const WriteAction action = flow.OnLookUp(LedgerRow::Run, { 1, 5 });
+  BOOST_CHECK(action.step == WriteStep::AwaitConfirmation);
+  BOOST_TEST(action.needsFreshAnswers);
+  flow.OnConfirmed();
+  BOOST_CHECK(flow.Result().outcome == Outcome::Ok);
+  BOOST_TEST(flow.Result().isReplayed);
+}
+
+BOOST_AUTO_TEST_CASE(AReplacedPrimaryConfirmsNothing)
+{
+  WriteFlow flow = Sent();
+  flow.OnBatch(Answer(BatchStatus::Ok), false, true);
+  const WriteAction action = flow.OnReplaced();
+  BOOST_CHECK(action.step == WriteStep::AwaitPrimary);
+  BOOST_TEST(action.term == 2U);
+  BOOST_CHECK(flow.OnPrimary(2).step == WriteStep::SendOriginal);
+  flow.OnDeadline();
+  BOOST_CHECK(flow.Result().outcome == Outcome::Pending);
+}
+
+BOOST_AUTO_TEST_CASE(ARepeatsFailureIsConfirmedBeforeItIsTold)
+{
+  WriteRules rules;
+  rules.isFirstAttempt = false;
+  WriteFlow flow = Sent(rules);
+  const WriteAction action =
+    flow.OnBatch(Answer(BatchStatus::StatementFailed), false, true);
+  BOOST_CHECK(action.step == WriteStep::AwaitConfirmation);
+  BOOST_TEST(action.needsFreshAnswers);
+  flow.OnConfirmed();
+  BOOST_CHECK(flow.Result().outcome == Outcome::Failed);
+}
+
+BOOST_AUTO_TEST_CASE(ACommitWithoutAnAnswerIsClosedByATombstone)
+{
+  WriteRules rules;
+  rules.canResend = false;
+  WriteFlow flow(rules);
+  flow.StartSent();
+  flow.OnSent();
+  flow.OnBatch(Answer(BatchStatus::Unknown), false, true);
+  BOOST_CHECK(flow.OnPrimary(1).step == WriteStep::SendTombstone);
+}
--- /dev/null
+++ b/Utilities/mastichold/Console.cpp
@@ -0,0 +1,82 @@
+#include "Console.h"
+
+#include <LibCore/Loop.h>
+#include <LibWire/HttpClient.h>
+
+#include <algorithm>
+#include <iostream>
+
+namespace Console {
+
+namespace {
+
+constexpr Core::Duration kTimeout = std::chrono::seconds(10);
+
+} // namespace
+
+std::optional<Wire::HttpAnswer>
+Ask(const Target& aTarget,
+    Wire::HttpMethod aMethod,
+    const std::string& aPath,
+    const std::string& aBody)
+{
+  Core::Loop loop;
+  Wire::HttpClient client(loop, "");
+  for (const std::string& node : aTarget.nodes) {
+    Core::LastReason reason;
+    const auto address = Wire::Address::Parse(node, reason);
+    if (!address) {
+      std::cerr << "--node: " << reason.Text() << '\n';
+      continue;
+    }
+    Wire::HttpCall call;
+    call.method = aMethod;
+    call.target = aPath;
+    call.body = aBody;
+    call.secret = aTarget.secret;
+    call.timeout = kTimeout;
+    Wire::HttpOutcome outcome;
+    client.Call(*address, call, [&](Wire::HttpOutcome aOutcome) {
+      outcome = std::move(aOutcome);
+      loop.Stop();
+    });
+    loop.Run();
+    const bool isAgentGone =
+      outcome.answer.status == static_cast<int>(Wire::HttpStatus::BadGateway);
+    if (outcome.delivery == Wire::Delivery::Answered && !isAgentGone)
+      return outcome.answer;
+  }
+  return std::nullopt;
+}
+
+void
+PrintTable(const std::vector<std::vector<std::string>>& aRows)
+{
+  std::vector<std::size_t> widths;
+  for (const auto& row : aRows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i)
+      widths[i] = std::max(widths[i], row[i].size());
+  }
+  for (const auto& row : aRows) {
+    std::string line;
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      line += row[i];
+      if (i + 1 < row.size())
+        line.append(widths[i] - row[i].size() + 2, ' ');
+    }
+    std::cout << line << '\n';
+  }
+}
+
+std::string
+CellOf(const boost::json::value& aValue)
+{
+  if (aValue.is_string())
+    return std::string(aValue.get_string());
+  if (aValue.is_null())
+    return "-";
+  return boost::json::serialize(aValue);
+}
+
+} // namespace Console
