--- a/Meta/mastichold.sh
+++ b/Meta/mastichold.sh
@@ -24,6 +24,7 @@
               --deployment tasmania|quebec   (tasmania)
               --nodes N                      (9 in Tasmania, 7 in Quebec)
               --base-port PORT               (free ports)
+              --restart-after SECONDS        (dead databases stay dead)
               --read-us N --write-us N       (times of a statement)
               --latency-us N                 (one-way latency, 1000)
   down      stop it
@@ -81,13 +82,33 @@
   fail "found no block of free ports"
 }
 
+# Starts a process and keeps its command, so that it can be started again.
 start() {
   local name=$1
   shift
-  "$@" > "$run/$name.out" 2> "$run/$name.log" &
+  printf '%s\n' "$@" > "$run/command/$name"
+  "$@" >> "$run/$name.out" 2>> "$run/$name.log" &
+  echo "$!" > "$run/pid/$name"
   echo "$! $name" >> "$run/pids"
 }
 
+# Plays the platform: starts dead databases again after a while.
+keep() {
+  local name pid command
+  while [ -e "$run/pids" ]; do
+    for name in "$run"/pid/*-[0-9]-[abc]; do
+      name=$(basename "$name")
+      pid=$(cat "$run/pid/$name")
+      is_ours "$pid" && continue
+      sleep "$1"
+      [ -e "$run/pids" ] || return
+      mapfile -t command < "$run/command/$name"
+      start "$name" "${command[@]}"
+    done
+    sleep 0.2
+  done
+}
+
 wait_until() {
   local what=$1 tries
   shift
@@ -130,7 +151,7 @@
 
 up() {
   deployment=tasmania
-  local nodes="" base_port="" read_us=2000 write_us=3000
+  local nodes="" base_port="" restart_after="" read_us=2000 write_us=3000
   latency_us=1000
   while [ $# -gt 0 ]; do
     [ $# -ge 2 ] || fail "up: $1 needs a value"
@@ -138,6 +159,7 @@
       --deployment) deployment=$2 ;;
       --nodes) nodes=$2 ;;
       --base-port) base_port=$2 ;;
+      --restart-after) restart_after=$2 ;;
       --read-us) read_us=$2 ;;
       --write-us) write_us=$2 ;;
       --latency-us) latency_us=$2 ;;
@@ -165,7 +187,7 @@
   fi
   build release > /dev/null
   rm -rf "$run"
-  mkdir -p "$run/data"
+  mkdir -p "$run/data" "$run/pid" "$run/command"
   secret=$(head -c 12 /dev/urandom | od -An -tx1 | tr -d ' \n')
   base_port=${base_port:-$(find_base_port $((10 + nodes * 4)))}
   cat "$root/Meta/presets/ledger.sql" "$root/Meta/presets/$deployment.sql" \
@@ -224,6 +246,9 @@
   for group in 1 2 3; do
     wait_until "group $group" serves "$group_name-$group" $((base_port + 10))
   done
+  if [ -n "$restart_after" ]; then
+    keep "$restart_after" > /dev/null 2>&1 &
+  fi
   echo "up: $deployment, $nodes nodes; addresses in Build/run/deployment.json"
 }
 
