LibCore: Use precise timers

Cause: with 1 ms of emulated latency a replica read took 28 ms where its four legs add up to 8 ms. libevent's default clock is the kernel's coarse one, so each timer could be 4 ms late. Nagle's algorithm was ruled out by a run without emulated latency (0.8 ms). Change: the event base asks for precise timers.

--- a/Libraries/LibCore/Loop.cpp
+++ b/Libraries/LibCore/Loop.cpp
@@ -53,8 +53,23 @@
   event* event_;
 };
 
+namespace {
+
+/** A base whose timers are not rounded up to the coarse clock's 4 ms. */
+event_base*
+NewPreciseBase()
+{
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  return base;
+}
+
+} // namespace
+
 Loop::Loop()
-  : base_(event_base_new())
+  : base_(NewPreciseBase())
 {
 }
 
--- a/Meta/mastichold.sh
+++ b/Meta/mastichold.sh
@@ -88,6 +88,7 @@
   shift
   printf '%s\n' "$@" > "$run/command/$name"
   "$@" >> "$run/$name.out" 2>> "$run/$name.log" &
+  disown
   echo "$!" > "$run/pid/$name"
   echo "$! $name" >> "$run/pids"
 }
