Tests: Run scenarios under virtual time, with every pair of faults

Cause: what must always hold had no proof under failure. Change: real homes and real watchers run under virtual time before fake databases; 7 scenarios, 13 faults alone and all 78 pairs of them, and six broken policies that the history checker must notice. The event loop became an interface, Core::Scheduler, for it. Found: a ledger row of a wrong shape threw in Ledger::ReadRow; TestLedger has it.

--- a/Libraries/LibAgent/AgentServer.cpp
+++ b/Libraries/LibAgent/AgentServer.cpp
@@ -1,6 +1,6 @@
 #include <LibAgent/AgentServer.h>
 
-#include "GroupWatcher.h"
+#include <LibAgent/GroupWatcher.h>
 #include "OperatorInterface.h"
 #include "PeerSpread.h"
 
@@ -389,11 +389,9 @@
   store_.Record(aKeyEnd, aRecord, [this, aKeyEnd, aRecord, aTries](bool aKept) {
     if (aKept)
       return;
-    loop_.Defer(
-      [this, aKeyEnd, aRecord, aTries] {
+    loop_.DeferFor(kRecordRetry, [this, aKeyEnd, aRecord, aTries] {
         Record(aKeyEnd, aRecord, aTries + 1);
-      },
-      kRecordRetry);
+      });
   });
 }
 
--- a/Libraries/LibAgent/GroupWatcher.cpp
+++ b/Libraries/LibAgent/GroupWatcher.cpp
@@ -1,4 +1,4 @@
-#include "GroupWatcher.h"
+#include <LibAgent/GroupWatcher.h>
 
 #include <LibCore/Log.h>
 
@@ -31,7 +31,7 @@
 
 } // namespace
 
-GroupWatcher::GroupWatcher(Core::Loop& aLoop,
+GroupWatcher::GroupWatcher(Core::Scheduler& aLoop,
                            WatcherHost& aHost,
                            std::string aGroup,
                            std::string aDataCentre,
--- a/Libraries/LibAgent/GroupWatcher.h
+++ b/Libraries/LibAgent/include/LibAgent/GroupWatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCore/Loop.h>
+#include <LibCore/Scheduler.h>
 #include <LibEndpoint/EndpointLink.h>
 #include <LibFailover/GroupWatch.h>
 #include <LibFailover/Promotion.h>
@@ -41,7 +41,7 @@
 class GroupWatcher
 {
 public:
-  GroupWatcher(Core::Loop& aLoop,
+  GroupWatcher(Core::Scheduler& aLoop,
                WatcherHost& aHost,
                std::string aGroup,
                std::string aDataCentre,
@@ -78,7 +78,7 @@
   void FinishPromotion();
   Core::Duration OrderTimeout() const;
 
-  Core::Loop& loop_;
+  Core::Scheduler& loop_;
   WatcherHost& host_;
   std::string group_;
   std::string dataCentre_;
--- a/Libraries/LibCore/Loop.cpp
+++ b/Libraries/LibCore/Loop.cpp
@@ -96,7 +96,7 @@
 }
 
 void
-Loop::Defer(std::function<void()> aTask, Duration aDelay)
+Loop::DeferFor(Duration aDelay, std::function<void()> aTask)
 {
   auto* task = new std::function<void()>(std::move(aTask));
   const timeval interval = ToInterval(aDelay);
--- a/Libraries/LibProxy/CallerInterface.cpp
+++ b/Libraries/LibProxy/CallerInterface.cpp
@@ -1,9 +1,8 @@
 #include "CallerInterface.h"
 
-#include "ReadRunner.h"
 #include "RunnerSupport.h"
-#include "WriteRunner.h"
 
+#include <LibProxy/Statements.h>
 #include <LibWire/FieldReader.h>
 #include <LibWire/Secret.h>
 
@@ -297,34 +296,21 @@
 void
 CallerInterface::RunStatement(GroupHome& aHome, const IncomingHandle& aIncoming)
 {
-  const StatementRequest& request = aIncoming->request;
-  const auto answer = [this, aIncoming](const Request::RequestAnswer& aAnswer) {
-    Answer(aIncoming, aAnswer);
-  };
-  if (!request.isWrite) {
-    std::make_shared<ReadRunner>(aHome, request, answer)->Start();
-    return;
-  }
-  Request::WriteRules rules;
-  rules.isFirstAttempt = request.attempt == 1;
-  rules.usesLedger = !request.isRepeatable;
-  std::make_shared<WriteRunner>(aHome, request, rules, answer)->Start();
+  Proxy::RunStatement(aHome,
+                      aIncoming->request,
+                      [this, aIncoming](const Request::RequestAnswer& aAnswer) {
+                        Answer(aIncoming, aAnswer);
+                      });
 }
 
 void
 CallerInterface::LookUp(GroupHome& aHome, const IncomingHandle& aIncoming)
 {
-  Request::WriteRules rules;
-  rules.isFirstAttempt = false;
-  rules.onlyLooksUp = true;
-  std::make_shared<WriteRunner>(
-    aHome,
-    aIncoming->request,
-    rules,
-    [this, aIncoming](const Request::RequestAnswer& aAnswer) {
-      Answer(aIncoming, aAnswer);
-    })
-    ->StartSettling();
+  LookUpRequest(aHome,
+                aIncoming->request,
+                [this, aIncoming](const Request::RequestAnswer& aAnswer) {
+                  Answer(aIncoming, aAnswer);
+                });
 }
 
 void
--- a/Libraries/LibProxy/DatabaseGate.cpp
+++ b/Libraries/LibProxy/DatabaseGate.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-DatabaseGate::DatabaseGate(Core::Loop& aLoop,
+DatabaseGate::DatabaseGate(Core::Scheduler& aLoop,
                            std::unique_ptr<Endpoint::EndpointLink> aLink,
                            const GateLimits& aLimits)
   : loop_(aLoop)
--- a/Libraries/LibProxy/include/LibProxy/DatabaseGate.h
+++ b/Libraries/LibProxy/include/LibProxy/DatabaseGate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibAdmission/WeightedQueue.h>
-#include <LibCore/Loop.h>
+#include <LibCore/Scheduler.h>
 #include <LibEndpoint/EndpointLink.h>
 
 #include <functional>
@@ -38,7 +38,7 @@
   using GrantCallback = std::function<void(ConnectionHandle)>;
   using RefusalCallback = std::function<void(Core::Duration aRetryAfter)>;
 
-  DatabaseGate(Core::Loop& aLoop,
+  DatabaseGate(Core::Scheduler& aLoop,
                std::unique_ptr<Endpoint::EndpointLink> aLink,
                const GateLimits& aLimits);
   ~DatabaseGate();
@@ -100,7 +100,7 @@
   void ProbeIdle();
   void KeepFloor();
 
-  Core::Loop& loop_;
+  Core::Scheduler& loop_;
   std::unique_ptr<Endpoint::EndpointLink> link_;
   GateLimits limits_;
   Admission::WeightedQueue queue_;
--- a/Libraries/LibProxy/include/LibProxy/GroupHome.h
+++ b/Libraries/LibProxy/include/LibProxy/GroupHome.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibAdmission/RetryBudget.h>
-#include <LibCore/Loop.h>
+#include <LibCore/Scheduler.h>
 #include <LibCore/Random.h>
 #include <LibEndpoint/GroupBook.h>
 #include <LibMembership/FleetView.h>
@@ -33,7 +33,7 @@
 /** What every group's home on one node shares. */
 struct HomeContext
 {
-  Core::Loop& loop;
+  Core::Scheduler& loop;
   Core::Random& random;
   Metrics::Registry& metrics;
   LinkFactory& links;
--- a/Libraries/LibRequest/Ledger.cpp
+++ b/Libraries/LibRequest/Ledger.cpp
@@ -101,9 +101,14 @@
   const boost::json::array& rows = aAnswer.results.front().rows;
   if (rows.empty())
     return LedgerRow::Absent;
-  const boost::json::array& row = rows.front().as_array();
-  aAffected = row[1].to_number<std::int64_t>();
-  return row[0].as_string() == kRun ? LedgerRow::Run : LedgerRow::Tombstone;
+  const boost::json::array* row = rows.front().if_array();
+  const bool isRow = row != nullptr && row->size() == 2 &&
+                     (*row)[0].is_string() && (*row)[1].is_int64();
+  if (!isRow)
+    return std::nullopt;
+  aAffected = (*row)[1].get_int64();
+  return (*row)[0].get_string() == kRun ? LedgerRow::Run
+                                        : LedgerRow::Tombstone;
 }
 
 } // namespace Request
--- a/Libraries/LibWire/HttpServer.cpp
+++ b/Libraries/LibWire/HttpServer.cpp
@@ -118,15 +118,13 @@
       server_.SendNow(request, aAnswer);
       return;
     }
-    server_.loop_.Defer(
-      [&server = server_,
+    server_.loop_.DeferFor(server_.latency_, [&server = server_,
        alive = serverAlive_,
        request,
        answer = std::move(aAnswer)] {
         if (*alive)
           server.SendNow(request, answer);
-      },
-      server_.latency_);
+      });
   }
 
 private:
@@ -285,12 +283,10 @@
     RunHandler(request, reply);
     return;
   }
-  loop_.Defer(
-    [this, alive = alive_, request = std::move(request), reply] {
+  loop_.DeferFor(latency_, [this, alive = alive_, request = std::move(request), reply] {
       if (*alive)
         RunHandler(request, reply);
-    },
-    latency_);
+    });
 }
 
 void
--- a/Services/StandInDatabase/DatabaseServer.cpp
+++ b/Services/StandInDatabase/DatabaseServer.cpp
@@ -223,14 +223,12 @@
     return;
   }
   ++connecting_;
-  loop_.Defer(
-    [this, connection = aRequest.connection, aReply] {
+  loop_.DeferFor(options_.connectTime, [this, connection = aRequest.connection, aReply] {
       --connecting_;
       runner_->OpenClient(connection);
       aReply->Send(HttpAnswer::Json(
         HttpStatus::Ok, boost::json::object{ { "database", options_.name } }));
-    },
-    options_.connectTime);
+    });
 }
 
 void
@@ -286,8 +284,7 @@
     aReply->Send(std::move(answer));
     return;
   }
-  loop_.Defer([aReply, answer] { aReply->Send(answer); },
-              faults_.LateAnswers());
+  loop_.DeferFor(faults_.LateAnswers(), [aReply, answer] { aReply->Send(answer); });
 }
 
 boost::json::object
--- a/Services/StandInDatabase/ExchangeRunner.cpp
+++ b/Services/StandInDatabase/ExchangeRunner.cpp
@@ -133,15 +133,13 @@
   if (aWaiting.writes)
     writer_ = aWaiting.connection;
   const Core::Duration time = aWaiting.time;
-  loop_.Defer(
-    [this, waiting = std::move(aWaiting)] {
+  loop_.DeferFor(time, [this, waiting = std::move(aWaiting)] {
       boost::json::object answer =
         Execute(waiting.connection, waiting.exchange);
       --running_;
       waiting.callback(std::move(answer));
       StartWaiting();
-    },
-    time);
+    });
 }
 
 boost::json::object
--- a/Services/StandInPlatform/PlatformServer.cpp
+++ b/Services/StandInPlatform/PlatformServer.cpp
@@ -100,7 +100,7 @@
         --loseAnswers_;
         return;
       }
-      loop_.Defer([aReply, answer] { aReply->Send(answer); }, slow_);
+      loop_.DeferFor(slow_, [aReply, answer] { aReply->Send(answer); });
     });
 }
 
@@ -287,12 +287,10 @@
 void
 PlatformServer::PublishList()
 {
-  loop_.Defer(
-    [this, list = list_] {
+  loop_.DeferFor(listLag_, [this, list = list_] {
       shownList_ = list;
       ++shownVersion_;
-    },
-    listLag_);
+    });
 }
 
 HttpAnswer
--- /dev/null
+++ b/Tests/Simulation/FakeLink.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "FakeDatabase.h"
+
+#include <LibProxy/GroupHome.h>
+
+namespace Simulation {
+
+/** An actor's link to a FakeDatabase, over the fake network. */
+class FakeLink final : public Endpoint::EndpointLink
+{
+public:
+  FakeLink(std::string aActor,
+           ActorTime& aTime,
+           Network& aNetwork,
+           FakeDatabase& aDatabase);
+
+  std::unique_ptr<Endpoint::EndpointConnection> NewConnection() override;
+  void AskStatus(const Endpoint::StatusQuestion& aQuestion,
+                 Endpoint::ReportCallback aCallback) override;
+  void Fence(const Endpoint::ControlOrder& aOrder,
+             Core::Duration aTimeout,
+             Endpoint::ControlCallback aCallback) override;
+  void Promote(const Endpoint::ControlOrder& aOrder,
+               Core::Duration aTimeout,
+               Endpoint::ControlCallback aCallback) override;
+  void Follow(const Endpoint::ControlOrder& aOrder,
+              const std::string& aName,
+              const std::string& aAddress,
+              Core::Duration aTimeout,
+              Endpoint::ControlCallback aCallback) override;
+
+private:
+  void Order(std::function<Endpoint::ControlAnswer()> aRun,
+             Core::Duration aTimeout,
+             Endpoint::ControlCallback aCallback);
+
+  std::string actor_;
+  ActorTime& time_;
+  Network& network_;
+  FakeDatabase& database_;
+};
+
+/** Whether links check that an answer belongs to their exchange. */
+enum class EchoCheck
+{
+  Checked,
+  /** Broken on purpose, to show that the history checker notices. */
+  Ignored,
+};
+
+/** Makes FakeLinks for one actor. */
+class FakeLinkFactory final : public Proxy::LinkFactory
+{
+public:
+  FakeLinkFactory(std::string aActor,
+                  ActorTime& aTime,
+                  Network& aNetwork,
+                  DatabaseDirectory& aDirectory);
+  std::unique_ptr<Endpoint::EndpointLink> Make(
+    const Membership::Database& aDatabase) override;
+  static EchoCheck echoCheck;
+
+private:
+  std::string actor_;
+  ActorTime& time_;
+  Network& network_;
+  DatabaseDirectory& directory_;
+};
+
+} // namespace Simulation
--- /dev/null
+++ b/Tests/Simulation/ScenarioRun.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "FakeLink.h"
+#include "Scenario.h"
+
+#include <LibAgent/GroupWatcher.h>
+#include <LibProxy/GroupHome.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Simulation {
+
+/** What a run of a scenario with one seed came to. */
+struct ScenarioResult
+{
+  std::vector<History::Violation> violations;
+  std::size_t writes = 0;
+  std::size_t toldOk = 0;
+  bool Has(History::ViolationKind aKind) const;
+  std::string ToText() const;
+};
+
+/**
+ * Runs a scenario under virtual time: real homes and real watchers, before
+ * fake databases on a fake network, with callers that check what they get.
+ */
+class ScenarioRun
+{
+public:
+  ScenarioRun(const Scenario& aScenario, std::uint64_t aSeed);
+  ~ScenarioRun();
+  ScenarioRun(const ScenarioRun&) = delete;
+  ScenarioRun& operator=(const ScenarioRun&) = delete;
+
+  ScenarioResult Run();
+
+private:
+  class Home;
+  class Watcher;
+  class Callers;
+
+  void Act(const ScenarioEvent& aEvent);
+  void ActOnDatabase(const ScenarioEvent& aEvent, FakeDatabase& aDatabase);
+  std::string Resolve(const std::string& aTarget);
+  ActorTime* TimeOf(const std::string& aName);
+  void HealAll();
+  FakeDatabase* Primary();
+
+  const Scenario& scenario_;
+  Core::Random random_;
+  VirtualTime time_;
+  Network network_;
+  DatabaseDirectory directory_;
+  std::vector<std::unique_ptr<FakeDatabase>> databases_;
+  std::vector<Membership::Database> infos_;
+  std::shared_ptr<const Settings::FleetSettings> fleet_;
+  std::vector<std::unique_ptr<Home>> homes_;
+  std::vector<std::unique_ptr<Watcher>> watchers_;
+  std::unique_ptr<Callers> callers_;
+  History::HistoryChecker history_;
+  std::string lastPrimary_;
+};
+
+} // namespace Simulation
