LibFailover: Void the votes of an identity whose file is lost

Cause: found by the model with a lost file. A promoter of a later term held the vote of a database that then lost its file and forgot it. A promoter of an earlier term let the new identity in, which confirmed a write; the first one then reached its majority with the void vote and an empty log, and the acknowledged write was lost. Ruled out: asking for a higher term before letting it in, since the rival's term can be higher still. Change: a fence names the joining databases that it lets in, every voter keeps and reports those names, and a promoter that hears of a new identity counts no vote of the old one. A promoter that did not know of a joiner does not let it in. TestPromotion and TestReplicaState have the steps.

--- a/Libraries/LibAgent/GroupWatcher.cpp
+++ b/Libraries/LibAgent/GroupWatcher.cpp
@@ -139,7 +139,7 @@
 {
   Do(watch_.Tick(loop_.Now()));
   for (const Failover::RepointOrder& order : watch_.Repoint(loop_.Now()))
-    Follow(order.database, { order.term, order.owner }, order.primary);
+    Follow(order.database, { order.term, order.owner, {} }, order.primary);
 }
 
 void
@@ -177,6 +177,9 @@
     names.push_back(name);
     if (database.state == Membership::VmState::Leaving)
       options.leaving.insert(name);
+    const Endpoint::DatabaseReport* report = watch_.LastReport(name);
+    if (report != nullptr && report->isJoining)
+      options.admits[name] = report->identity;
   }
   ++round_;
   trouble_ = aAction.trouble;
@@ -212,7 +215,7 @@
         break;
       case PromotionStep::Follow:
         Follow(action.database,
-               { promotion_->Options().term, promotion_->Options().owner },
+               { promotion_->Options().term, promotion_->Options().owner, {} },
                promotion_->Chosen());
         break;
       case PromotionStep::Finish:
@@ -227,7 +230,7 @@
 {
   const Failover::PromotionOptions& options = promotion_->Options();
   links_.at(aDatabase)->Fence(
-    { options.term, options.owner },
+    { options.term, options.owner, options.admits },
     OrderTimeout(),
     [this, aDatabase, round = round_, alive = alive_, askedAt = loop_.Now()](
       const std::optional<Endpoint::ControlAnswer>& aAnswer) {
@@ -244,7 +247,7 @@
 {
   const Failover::PromotionOptions& options = promotion_->Options();
   links_.at(aDatabase)->Promote(
-    { options.term, options.owner },
+    { options.term, options.owner, {} },
     OrderTimeout(),
     [this, aDatabase, round = round_, alive = alive_, askedAt = loop_.Now()](
       const std::optional<Endpoint::ControlAnswer>& aAnswer) {
--- a/Libraries/LibEndpoint/DatabaseReport.cpp
+++ b/Libraries/LibEndpoint/DatabaseReport.cpp
@@ -22,6 +22,13 @@
   report.isPrimary = reader.String("role") == "primary";
   report.isJoining = reader.Boolean("joining", false);
   report.follows = reader.OptionalString("primary").value_or("");
+  if (const auto* identities = reader.OptionalObject("identities")) {
+    for (const auto& entry : *identities) {
+      if (entry.value().is_string())
+        report.identities[std::string(entry.key())] =
+          entry.value().get_string();
+    }
+  }
   if (!findings.IsEmpty())
     return std::nullopt;
   return report;
--- a/Libraries/LibEndpoint/HttpEndpointLink.cpp
+++ b/Libraries/LibEndpoint/HttpEndpointLink.cpp
@@ -22,7 +22,15 @@
 boost::json::object
 OrderToJson(const ControlOrder& aOrder)
 {
-  return { { "term", aOrder.term }, { "owner", aOrder.owner } };
+  boost::json::object body{ { "term", aOrder.term },
+                            { "owner", aOrder.owner } };
+  if (aOrder.admits.empty())
+    return body;
+  boost::json::object admits;
+  for (const auto& [name, identity] : aOrder.admits)
+    admits[name] = identity;
+  body["admits"] = std::move(admits);
+  return body;
 }
 
 std::string
--- a/Libraries/LibEndpoint/include/LibEndpoint/DatabaseReport.h
+++ b/Libraries/LibEndpoint/include/LibEndpoint/DatabaseReport.h
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -25,6 +26,8 @@
   bool isPrimary = false;
   /** True for a database that lost its file and has not caught up. */
   bool isJoining = false;
+  /** Databases that it knows to have lost their files; see Promotion. */
+  std::map<std::string, std::string> identities;
   /** Whom it follows; empty when nobody. */
   std::string follows;
 
--- a/Libraries/LibEndpoint/include/LibEndpoint/EndpointLink.h
+++ b/Libraries/LibEndpoint/include/LibEndpoint/EndpointLink.h
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -115,6 +116,8 @@
   Term term = 0;
   /** Who promotes in that term. */
   std::string owner;
+  /** Fence: the joining databases that are let in, and their identities. */
+  std::map<std::string, std::string> admits;
 };
 
 /** The answer to an order; absent when none came. */
--- a/Libraries/LibFailover/Promotion.cpp
+++ b/Libraries/LibFailover/Promotion.cpp
@@ -36,15 +36,18 @@
 {
   awaited_.erase(aDatabase);
   if (aAnswer) {
-    highestTerm_ = std::max(highestTerm_, aAnswer->report.promised);
-    if (aAnswer->isAccepted && !aAnswer->report.isJoining)
-      promised_[aDatabase] = aAnswer->report.log;
+    const Endpoint::DatabaseReport& report = aAnswer->report;
+    highestTerm_ = std::max(highestTerm_, report.promised);
+    for (const auto& [name, identity] : report.identities)
+      identities_[name] = identity;
+    if (aAnswer->isAccepted && !report.isJoining)
+      promised_[aDatabase] = { report.identity, report.log };
     else if (!aAnswer->isAccepted)
       reason_ = aDatabase + ": " + aAnswer->reason;
   }
   if (isOver_ || !chosen_.empty())
     return {};
-  const bool isEnough = promised_.size() >= Needed();
+  const bool isEnough = Votes().size() >= Needed();
   if (awaited_.empty())
     return isEnough ? Choose() : Fail("too few databases promised the term");
   // A minority must not be chosen from while others may still answer.
@@ -54,11 +57,29 @@
   return { { PromotionStep::AwaitGrace, "" } };
 }
 
+std::map<std::string, LogPosition>
+Promotion::Votes() const
+{
+  std::map<std::string, LogPosition> votes;
+  for (const auto& [name, vote] : promised_) {
+    const auto known = identities_.find(name);
+    // A vote given before the file was lost binds nobody: the database that
+    // goes by the name now does not remember it. (Found by model checking.)
+    if (known == identities_.end() || known->second == vote.identity)
+      votes[name] = vote.log;
+  }
+  return votes;
+}
+
 std::vector<PromotionAction>
 Promotion::OnGraceOver()
 {
   if (isOver_ || !chosen_.empty())
     return {};
+  isGraceRunning_ = false;
+  // A late answer may have voided a vote that was counted before.
+  if (Votes().size() < Needed())
+    return {};
   return Choose();
 }
 
@@ -70,12 +91,11 @@
                            !options_.leaving.contains(aEntry.first),
                            aEntry.first == options_.preferred);
   };
-  const auto best =
-    std::max_element(promised_.begin(),
-                     promised_.end(),
-                     [&rank](const auto& aLeft, const auto& aRight) {
-                       return rank(aLeft) < rank(aRight);
-                     });
+  const auto votes = Votes();
+  const auto best = std::max_element(
+    votes.begin(), votes.end(), [&rank](const auto& aLeft, const auto& aRight) {
+      return rank(aLeft) < rank(aRight);
+    });
   chosen_ = best->first;
   return { { PromotionStep::Promote, chosen_ } };
 }
--- a/Libraries/LibFailover/include/LibFailover/Promotion.h
+++ b/Libraries/LibFailover/include/LibFailover/Promotion.h
@@ -43,6 +43,8 @@
   std::string preferred;
   /** Not chosen unless nothing else is as far. */
   std::set<std::string> leaving;
+  /** Databases that lost their files and are let in: name to identity. */
+  std::map<std::string, std::string> admits;
   /** An operator's written exception: go ahead with fewer than a majority. */
   bool allowsMinority = false;
 };
@@ -77,14 +79,23 @@
 
 private:
   std::size_t Needed() const;
+  /** The votes that still stand, given what is known of lost files. */
+  std::map<std::string, LogPosition> Votes() const;
   std::vector<PromotionAction> Choose();
   std::vector<PromotionAction> Fail(std::string aReason);
 
   std::vector<std::string> databases_;
   PromotionOptions options_;
   std::set<std::string> awaited_;
-  /** The logs of the databases that promised and may vote. */
-  std::map<std::string, LogPosition> promised_;
+  struct Vote
+  {
+    std::string identity;
+    LogPosition log;
+  };
+  /** What the databases that promised and may vote said of themselves. */
+  std::map<std::string, Vote> promised_;
+  /** The identities that have replaced others; see Votes. */
+  std::map<std::string, std::string> identities_;
   bool isGraceRunning_ = false;
   bool succeeded_ = false;
   bool isOver_ = false;
--- a/Libraries/LibStandIn/LogFile.cpp
+++ b/Libraries/LibStandIn/LogFile.cpp
@@ -16,6 +16,8 @@
   meta.logTerm = aObject.at("log_term").to_number<Term>();
   meta.joining = aObject.at("joining").as_bool();
   meta.admittedBy = aObject.at("admitted_by").to_number<Term>();
+  for (const auto& entry : aObject.at("identities").as_object())
+    meta.identities[std::string(entry.key())] = entry.value().as_string();
   return meta;
 }
 
@@ -55,10 +57,14 @@
 void
 LogFile::SaveMeta(const ReplicaMeta& aMeta)
 {
+  boost::json::object identities;
+  for (const auto& [name, identity] : aMeta.identities)
+    identities[name] = identity;
   const boost::json::object meta{
     { "identity", aMeta.identity }, { "promised", aMeta.promised },
     { "owner", aMeta.owner },       { "log_term", aMeta.logTerm },
-    { "joining", aMeta.joining },   { "admitted_by", aMeta.admittedBy }
+    { "joining", aMeta.joining },   { "admitted_by", aMeta.admittedBy },
+    { "identities", identities }
   };
   file_ << boost::json::serialize(boost::json::object{ { "meta", meta } })
         << std::endl;
--- a/Libraries/LibStandIn/ReplicaState.cpp
+++ b/Libraries/LibStandIn/ReplicaState.cpp
@@ -49,17 +49,21 @@
 bool
 ReplicaState::Fence(Term aTerm,
                     const std::string& aOwner,
+                    const IdentityMap& aAdmitted,
                     Core::LastReason& aReason)
 {
   if (!Promise(aTerm, aOwner, aReason))
     return false;
-  // The promoter sees "joining" in the answer and does not count it, so this
-  // database's vote for an earlier term, given by the identity before it and
-  // forgotten, can no longer matter once it holds this term's log.
-  if (meta_.joining && meta_.admittedBy != aTerm) {
-    meta_.admittedBy = aTerm;
-    storage_.SaveMeta(meta_);
+  // Every voter hears of the new identity in the very fence that lets it in.
+  // So a rival that holds a vote of the old one, even for a later term, learns
+  // from its next vote that the old one is void.
+  for (const auto& [name, identity] : aAdmitted) {
+    meta_.identities[name] = identity;
+    if (meta_.joining && identity == meta_.identity)
+      meta_.admittedBy = aTerm;
   }
+  if (!aAdmitted.empty())
+    storage_.SaveMeta(meta_);
   return true;
 }
 
--- a/Libraries/LibStandIn/include/LibStandIn/ReplicaState.h
+++ b/Libraries/LibStandIn/include/LibStandIn/ReplicaState.h
@@ -4,6 +4,7 @@
 #include <LibCore/LastReason.h>
 #include <LibSession/LogPosition.h>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,6 +37,9 @@
     { ReplicaRole::Primary, "primary" } },
 } };
 
+/** Names of databases, and the identity that each one has. */
+using IdentityMap = std::map<std::string, std::string>;
+
 /** What a database keeps across a crash, besides its entries. */
 struct ReplicaMeta
 {
@@ -48,8 +52,10 @@
   Term logTerm = 0;
   /** True for a new identity until a later term's promoter let it in. */
   bool joining = false;
-  /** The term whose promoter fenced this database while it was joining. */
+  /** The term whose promoter lets this database in, once it catches up. */
   Term admittedBy = 0;
+  /** The databases that lost their files, and the identities they have now. */
+  IdentityMap identities;
 };
 
 /** Where a replica's promises and log are kept. */
@@ -106,8 +112,15 @@
                std::vector<LogEntry> aLog,
                ReplicaStorage& aStorage);
 
-  /** Promises aTerm to aOwner and stops being primary of an earlier term. */
-  bool Fence(Term aTerm, const std::string& aOwner, Core::LastReason& aReason);
+  /**
+   * Promises aTerm to aOwner and stops being primary of an earlier term.
+   * aAdmitted are the joining databases that the promoter lets in; votes of
+   * the identities that they had before are void from here on.
+   */
+  bool Fence(Term aTerm,
+             const std::string& aOwner,
+             const IdentityMap& aAdmitted,
+             Core::LastReason& aReason);
 
   /** Becomes the primary of aTerm, which must be promised to aOwner. */
   bool Promote(Term aTerm,
--- /dev/null
+++ b/Model/check.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# Checks Group.pml with spin: the true model must have no counterexample within
+# the bound, and each broken variant must have one.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+work=Build/model
+mkdir -p "$work"
+# A bitstate search with 2^27 bits, this many steps deep at the most.
+bits=27
+depth=${MASTICHOLD_MODEL_DEPTH:-400}
+# The longest that one search may take, in minutes.
+minutes=${MASTICHOLD_MODEL_MINUTES:-1}
+seed=${MASTICHOLD_MODEL_SEED:-1}
+passed=0
+failed=0
+
+# search NAME [MACRO...]: prints the number of errors found.
+search() {
+  local name=$1
+  shift
+  mkdir -p "$work/$name"
+  (
+    cd "$work/$name"
+    spin "$@" -a ../../../Model/Group.pml > spin.log
+    # A fixed random order finds deep counterexamples sooner than the plain one.
+    gcc -O2 -w -DBITSTATE -DSAFETY -DNOCLAIM -DMEMLIM=2000 -DT_RAND -DP_RAND \
+      -o pan pan.c
+    ./pan -w$bits -m"$depth" -Q"$minutes" -RS"$seed" -n > pan.log 2>&1 || true
+    # Only a violated assertion counts, not a bound or a stuck process.
+    if grep -q 'assertion violated' pan.log; then echo 1; else
+      sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.log | sed 's/[1-9][0-9]*/stuck/'
+    fi
+  )
+}
+
+# expect NAME none|some [MACRO...]
+expect() {
+  local name=$1 wanted=$2 errors
+  shift 2
+  errors=$(search "$name" "$@")
+  local states
+  states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$work/$name/pan.log")
+  if { [ "$wanted" = none ] && [ "$errors" = 0 ]; } ||
+    { [ "$wanted" = some ] && [ "$errors" = 1 ]; }; then
+    echo "model $name: as expected ($wanted), ${states:-?} states"
+  else
+    echo "model $name: WRONG, wanted $wanted, errors: ${errors:-no result}"
+    return 1
+  fi
+}
+
+declare -a jobs=(
+  "true none"
+  "true-with-file-loss none -DWITH_FILE_LOSS"
+  "confirm-without-term some -DCONFIRM_WITHOUT_TERM -DNO_SETTLER -DTRIES=1"
+  "minority some -DMINORITY"
+  "unconfirmed-tombstone some -DUNCONFIRMED_TOMBSTONE -DNO_OTHER_CALLER -DTRIES=1"
+  "unconfirmed-write some -DUNCONFIRMED_WRITE"
+  "choose-by-position some -DCHOOSE_BY_POSITION -DNO_SETTLER -DTRIES=1"
+  "log-term-early some -DLOG_TERM_EARLY -DNO_HOMES"
+  "forgets-its-loss some -DWITH_FILE_LOSS -DFORGETS_ITS_LOSS -DNO_HOMES"
+  "no-identities some -DWITH_FILE_LOSS -DNO_IDENTITIES -DNO_HOMES"
+  "small-true none -DWITH_FILE_LOSS -DNO_HOMES"
+  "expires-early some -DEXPIRES_EARLY"
+)
+declare -a pids=()
+for job in "${jobs[@]}"; do
+  # shellcheck disable=SC2086
+  expect $job &
+  pids+=($!)
+done
+for pid in "${pids[@]}"; do
+  if wait "$pid"; then passed=$((passed + 1)); else failed=$((failed + 1)); fi
+done
+echo "model: $passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- a/Services/StandInDatabase/DatabaseServer.cpp
+++ b/Services/StandInDatabase/DatabaseServer.cpp
@@ -54,6 +54,29 @@
   return statements;
 }
 
+IdentityMap
+ReadIdentities(Wire::FieldReader& aReader)
+{
+  IdentityMap identities;
+  const boost::json::object* object = aReader.OptionalObject("admits");
+  if (object == nullptr)
+    return identities;
+  for (const auto& entry : *object) {
+    if (entry.value().is_string())
+      identities[std::string(entry.key())] = entry.value().get_string();
+  }
+  return identities;
+}
+
+boost::json::object
+IdentitiesToJson(const IdentityMap& aIdentities)
+{
+  boost::json::object object;
+  for (const auto& [name, identity] : aIdentities)
+    object[name] = identity;
+  return object;
+}
+
 } // namespace
 
 DatabaseServer::DatabaseServer(Core::Loop& aLoop, DatabaseOptions aOptions)
@@ -300,6 +323,7 @@
            { "log_term", log.term },
            { "position", log.position },
            { "joining", meta.joining },
+           { "identities", IdentitiesToJson(meta.identities) },
            { "primary", state_->Primary() },
            { "connections", runner_->Clients() } };
 }
@@ -378,7 +402,8 @@
   const std::string owner = aReader.String("owner");
   const bool wasPrimary = state_->IsPrimary();
   Core::LastReason reason;
-  const bool accepted = state_->Fence(term, owner, reason);
+  const bool accepted =
+    state_->Fence(term, owner, ReadIdentities(aReader), reason);
   if (state_->Role() == ReplicaRole::Fenced)
     follower_->Stop();
   if (wasPrimary && !state_->IsPrimary()) {
--- a/Tests/LibFailover/TestPromotion.cpp
+++ b/Tests/LibFailover/TestPromotion.cpp
@@ -28,7 +28,7 @@
 }
 
 Promotion
-Make(const PromotionOptions& aOptions = { 5, "me", "", {}, false })
+Make(const PromotionOptions& aOptions = { 5, "me", "", {}, {}, false })
 {
   return Promotion({ "a", "b", "c" }, aOptions);
 }
@@ -96,13 +96,13 @@
 
 BOOST_AUTO_TEST_CASE(ALeavingDatabaseIsChosenOnlyWhenItAloneIsFurthest)
 {
-  Promotion promotion = Make({ 5, "me", "a", { "a" }, false });
+  Promotion promotion = Make({ 5, "me", "a", { "a" }, {}, false });
   promotion.Start();
   promotion.OnFence("a", Promised({ 2, 9 }));
   promotion.OnFence("b", Promised({ 2, 9 }));
   BOOST_TEST(promotion.OnFence("c", std::nullopt)[0].database == "b");
 
-  Promotion other = Make({ 5, "me", "a", { "a" }, false });
+  Promotion other = Make({ 5, "me", "a", { "a" }, {}, false });
   other.Start();
   other.OnFence("a", Promised({ 2, 10 }));
   other.OnFence("b", Promised({ 2, 9 }));
@@ -122,3 +122,18 @@
   BOOST_TEST(actions[1].database == "c");
   BOOST_TEST(promotion.HasSucceeded());
 }
+
+BOOST_AUTO_TEST_CASE(AVoteOfAnIdentityThatIsGoneIsVoid)
+{
+  Promotion promotion = Make();
+  promotion.Start();
+  ControlAnswer before = Promised({ 1, 0 });
+  before.report.identity = "b, before it lost its file";
+  promotion.OnFence("b", before);
+  ControlAnswer other = Promised({ 1, 0 });
+  other.report.identities["b"] = "b, as it is now";
+  BOOST_TEST(promotion.OnFence("c", other).empty());
+  const auto actions = promotion.OnFence("a", std::nullopt);
+  BOOST_CHECK(actions[0].step == PromotionStep::Finish);
+  BOOST_TEST(!promotion.HasSucceeded());
+}
--- a/Tests/LibStandIn/TestReplicaState.cpp
+++ b/Tests/LibStandIn/TestReplicaState.cpp
@@ -23,7 +23,7 @@
 
   void Lead(ReplicaState& aState, Term aTerm)
   {
-    BOOST_REQUIRE(aState.Fence(aTerm, "o", reason));
+    BOOST_REQUIRE(aState.Fence(aTerm, "o", {}, reason));
     BOOST_REQUIRE(aState.Promote(aTerm, "o", reason));
   }
   /** Copies aFrom's log to aTo, which follows it, until nothing is new. */
@@ -50,10 +50,10 @@
 
 BOOST_FIXTURE_TEST_CASE(ATermIsPromisedToOneOwner, Fixture)
 {
-  BOOST_TEST(a.Fence(3, "x", reason));
-  BOOST_TEST(!a.Fence(3, "y", reason));
-  BOOST_TEST(!a.Fence(2, "y", reason));
-  BOOST_TEST(a.Fence(4, "y", reason));
+  BOOST_TEST(a.Fence(3, "x", {}, reason));
+  BOOST_TEST(!a.Fence(3, "y", {}, reason));
+  BOOST_TEST(!a.Fence(2, "y", {}, reason));
+  BOOST_TEST(a.Fence(4, "y", {}, reason));
   BOOST_TEST(!a.Promote(3, "x", reason));
 }
 
@@ -118,15 +118,22 @@
   Lead(a, 1);
   a.Append("one");
   ReplicaMeta meta;
+  meta.identity = "fresh";
   meta.joining = true;
   ReplicaState fresh(meta, {}, storage);
   fresh.Follow(1, "o", "a", reason);
   Ship(a, fresh);
   BOOST_TEST(fresh.Meta().joining);
   BOOST_TEST(!fresh.Promote(1, "o", reason));
-  BOOST_REQUIRE(fresh.Fence(2, "o", reason));
+  // A promoter that did not know of it does not let it in.
+  BOOST_REQUIRE(fresh.Fence(2, "o", {}, reason));
   Lead(a, 2);
   fresh.Follow(2, "o", "a", reason);
   Ship(a, fresh);
+  BOOST_TEST(fresh.Meta().joining);
+  BOOST_REQUIRE(fresh.Fence(3, "o", { { "c", "fresh" } }, reason));
+  Lead(a, 3);
+  fresh.Follow(3, "o", "a", reason);
+  Ship(a, fresh);
   BOOST_TEST(!fresh.Meta().joining);
 }
--- a/Tests/Simulation/FakeDatabase.cpp
+++ b/Tests/Simulation/FakeDatabase.cpp
@@ -94,6 +94,7 @@
   report.owner = state_->Meta().owner;
   report.isPrimary = state_->IsPrimary();
   report.isJoining = state_->Meta().joining;
+  report.identities = state_->Meta().identities;
   report.follows = state_->Primary();
   return report;
 }
@@ -240,7 +241,8 @@
 FakeDatabase::Fence(const Endpoint::ControlOrder& aOrder)
 {
   Core::LastReason reason;
-  const bool accepted = state_->Fence(aOrder.term, aOrder.owner, reason);
+  const bool accepted = 
+    state_->Fence(aOrder.term, aOrder.owner, aOrder.admits, reason);
   if (state_->Role() == StandIn::ReplicaRole::Fenced) {
     ++round_;
     connections_.clear();
