mastichold-bench: Add config, leaving, stop, overhead and control

Cause: configuration spread, leaving databases, planned stops and the cost of proxy and agent had no figures.

--- a/Model/check.sh
+++ b/Model/check.sh
@@ -10,7 +10,7 @@
 depth=${MASTICHOLD_MODEL_DEPTH:-400}
 # The longest that one search may take, in minutes.
 minutes=${MASTICHOLD_MODEL_MINUTES:-1}
-seed=${MASTICHOLD_MODEL_SEED:-1}
+seed=${MASTICHOLD_MODEL_SEED:-2}
 passed=0
 failed=0
 
--- /dev/null
+++ b/Utilities/mastichold-bench/ConfigRun.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "CallerClient.h"
+
+#include <functional>
+#include <set>
+#include <vector>
+
+namespace Bench {
+
+/**
+ * Changes the configuration again and again and measures, from the operator's
+ * answer, how long each change takes to be in force on every proxy.
+ */
+class ConfigRun
+{
+public:
+  ConfigRun(Core::Loop& aLoop, CallerClient& aClient, int aChanges);
+
+  /** aDone gets a time for each change. */
+  void Start(std::function<void(std::vector<Core::Duration>)> aDone);
+
+private:
+  void Next();
+  void Change(std::int64_t aBasedOn);
+  void PollNodes();
+
+  Core::Loop& loop_;
+  CallerClient& client_;
+  Core::Random random_;
+  int left_;
+  std::int64_t version_ = 0;
+  Core::Instant acceptedAt_;
+  std::set<std::string> waitingFor_;
+  std::vector<Core::Duration> times_;
+  std::function<void(std::vector<Core::Duration>)> done_;
+  Core::TimerHandle timer_;
+};
+
+} // namespace Bench
--- a/Utilities/mastichold-bench/LoadRun.cpp
+++ b/Utilities/mastichold-bench/LoadRun.cpp
@@ -57,6 +57,7 @@
                  const LoadOptions& aOptions)
   : loop_(aLoop)
   , client_(aClient)
+  , health_(aLoop, aClient)
   , options_(aOptions)
   , random_(aOptions.seed)
 {
@@ -118,7 +119,7 @@
 std::size_t
 LoadRun::PickNode()
 {
-  return random_.Below(client_.Fleet().nodes.size());
+  return health_.Pick(random_);
 }
 
 std::string
--- a/Utilities/mastichold-bench/LoadRun.h
+++ b/Utilities/mastichold-bench/LoadRun.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "CallerClient.h"
+#include "HealthWatch.h"
 #include "Workload.h"
 
 #include <LibHistory/HistoryChecker.h>
@@ -104,6 +104,7 @@
 
   Core::Loop& loop_;
   CallerClient& client_;
+  HealthWatch health_;
   LoadOptions options_;
   Core::Random random_;
   std::vector<Caller> callers_;
--- a/Utilities/mastichold-bench/main.cpp
+++ b/Utilities/mastichold-bench/main.cpp
@@ -1,6 +1,9 @@
+#include "ConfigRun.h"
 #include "FailoverRun.h"
 #include "LoadRun.h"
+#include "OverheadRun.h"
 #include "Report.h"
+#include "StreamRun.h"
 
 #include <CLI/CLI.hpp>
 
@@ -19,6 +22,8 @@
   std::int64_t thinkMs = 20;
   LoadOptions load;
   FailoverOptions failover;
+  int changes = 30;
+  int reads = 2000;
 };
 
 /** A loop, a deployment and a client, as every experiment needs them. */
@@ -75,7 +80,7 @@
 
 /** A load with one primary killed in its middle, and the account of it. */
 int
-RunDemo(Bed& aBed)
+RunDemo(Bed& aBed, const Arguments&)
 {
   LoadResult result;
   std::vector<FailoverSample> samples;
@@ -105,6 +110,225 @@
   return result.wrong.empty() && failedOver ? 0 : 1;
 }
 
+/** A row of a distribution, in milliseconds. */
+std::vector<std::string>
+RowOf(const std::string& aName, const std::vector<Core::Duration>& aTimes)
+{
+  return { aName,
+           std::to_string(aTimes.size()),
+           Milliseconds(QuantileOf(aTimes, 0.5)),
+           Milliseconds(QuantileOf(aTimes, 0.99)),
+           Milliseconds(QuantileOf(aTimes, 1.0)) };
+}
+
+boost::json::array
+TimesToJson(const std::vector<Core::Duration>& aTimes)
+{
+  boost::json::array array;
+  for (const Core::Duration time : aTimes)
+    array.push_back(time.count());
+  return array;
+}
+
+int
+RunConfig(Bed& aBed, const Arguments& aArguments)
+{
+  std::vector<Core::Duration> times;
+  ConfigRun run(aBed.loop, aBed.client, aArguments.changes);
+  run.Start([&](std::vector<Core::Duration> aTimes) {
+    times = std::move(aTimes);
+    aBed.loop.Stop();
+  });
+  aBed.loop.Run();
+  if (aArguments.json)
+    std::cout << boost::json::serialize(TimesToJson(times)) << '\n';
+  else
+    PrintTable({ { "change in force everywhere",
+                   "changes",
+                   "median ms",
+                   "p99 ms",
+                   "worst ms" },
+                 RowOf(std::to_string(aBed.deployment.nodes.size()) + " nodes",
+                       times) });
+  return 0;
+}
+
+/** Marks each database of the first group as leaving, one after the other. */
+int
+RunLeaving(Bed& aBed, const Arguments& aArguments)
+{
+  const std::string group = aBed.deployment.Groups().front();
+  std::vector<Core::Duration> lastWork;
+  std::uint64_t cutOff = 0;
+  const auto setState = [&](const std::string& aName, const char* aState) {
+    aBed.client.Call(aBed.deployment.platform,
+                     Wire::HttpMethod::Post,
+                     "/v1/vms/state",
+                     { { "name", aName }, { "state", aState } },
+                     [](const std::optional<boost::json::object>&) {});
+  };
+  for (const DatabaseProcess& database : aBed.deployment.databases) {
+    if (database.group != group)
+      continue;
+    StreamRun run(aBed.loop, aBed.client);
+    run.Start(
+      database.name,
+      [&] { setState(database.name, "leaving"); },
+      std::chrono::seconds(5),
+      [&](const StreamResult& aResult) {
+        lastWork.push_back(aResult.lastWork.value_or(Core::Duration(0)));
+        cutOff += aResult.cutOff;
+        setState(database.name, "live");
+        aBed.loop.Stop();
+      });
+    aBed.loop.Run();
+  }
+  if (aArguments.json)
+    std::cout << boost::json::serialize(boost::json::object{
+                   { "last_work_us", TimesToJson(lastWork) },
+                   { "cut_off", cutOff } })
+              << '\n';
+  else
+    PrintTable({ { "last new work after the list",
+                   "databases",
+                   "median ms",
+                   "p99 ms",
+                   "worst ms" },
+                 RowOf("leaving", lastWork) });
+  std::cout << (aArguments.json ? "" : "requests cut off: ")
+            << (aArguments.json ? "" : std::to_string(cutOff) + "\n");
+  constexpr Core::Duration kLimit = std::chrono::seconds(3);
+  return cutOff == 0 && QuantileOf(lastWork, 1.0) <= kLimit ? 0 : 1;
+}
+
+/** Stops one node's proxy and agent, as planned, under a stream. */
+int
+RunStop(Bed& aBed, const Arguments& aArguments)
+{
+  StreamResult result;
+  StreamRun run(aBed.loop, aBed.client);
+  const Node& node = aBed.deployment.nodes.back();
+  run.Start(
+    "",
+    [&] {
+      ::kill(node.proxy, SIGTERM);
+      ::kill(node.agent, SIGTERM);
+    },
+    std::chrono::seconds(4),
+    [&](const StreamResult& aResult) {
+      result = aResult;
+      aBed.loop.Stop();
+    });
+  aBed.loop.Run();
+  if (aArguments.json)
+    std::cout << boost::json::serialize(boost::json::object{
+                   { "answers", result.answers },
+                   { "cut_off", result.cutOff },
+                   { "longest_gap_us", result.longestGap.count() } })
+              << '\n';
+  else
+    std::cout << "planned stop of " << node.name << ": " << result.answers
+              << " answers, " << result.cutOff
+              << " requests cut off, longest gap between writes "
+              << Milliseconds(result.longestGap) << " ms\n";
+  return result.cutOff == 0 ? 0 : 1;
+}
+
+int
+RunOverhead(Bed& aBed, const Arguments& aArguments)
+{
+  OverheadResult result;
+  OverheadRun run(aBed.loop, aBed.client, aArguments.reads);
+  run.Start([&](OverheadResult aResult) {
+    result = std::move(aResult);
+    aBed.loop.Stop();
+  });
+  aBed.loop.Run();
+  const double perCore =
+    static_cast<double>(result.crowdReads) /
+    (static_cast<double>(result.crowdProcessor.count()) / 1e6);
+  if (aArguments.json) {
+    std::cout << boost::json::serialize(boost::json::object{
+                   { "direct_us", QuantileOf(result.direct, 0.5).count() },
+                   { "at_home_us", QuantileOf(result.atHome, 0.5).count() },
+                   { "with_hop_us", QuantileOf(result.withHop, 0.5).count() },
+                   { "reads_per_core_second", perCore } })
+              << '\n';
+    return 0;
+  }
+  const auto row = [&](const std::string& aName,
+                       const std::vector<Core::Duration>& aTimes) {
+    const Core::Duration median = QuantileOf(aTimes, 0.5);
+    return std::vector<std::string>{
+      aName,
+      std::to_string(median.count()),
+      std::to_string((median - QuantileOf(result.direct, 0.5)).count())
+    };
+  };
+  PrintTable({ { "way", "median us", "added us" },
+               row("direct", result.direct),
+               row("entry is home", result.atHome),
+               row("with the hop", result.withHop) });
+  std::cout << "crowd: " << result.crowdReads << " reads in "
+            << Milliseconds(result.crowdTime) << " ms, "
+            << static_cast<long long>(perCore)
+            << " reads a second of one core of the home\n";
+  return 0;
+}
+
+/** What every agent and proxy used, over some seconds, in its own words. */
+int
+RunControl(Bed& aBed, const Arguments& aArguments)
+{
+  struct Usage
+  {
+    Core::Duration agent{ 0 };
+    Core::Duration proxy{ 0 };
+  };
+  std::vector<Usage> before;
+  for (const Node& node : aBed.deployment.nodes)
+    before.push_back(
+      { ProcessorTimeOf(node.agent), ProcessorTimeOf(node.proxy) });
+  const auto timer = aBed.loop.After(std::chrono::seconds(aArguments.seconds),
+                                     [&] { aBed.loop.Stop(); });
+  aBed.loop.Run();
+  Core::Duration agents{ 0 };
+  Core::Duration proxies{ 0 };
+  std::int64_t worstAgentKib = 0;
+  std::int64_t agentKib = 0;
+  std::int64_t proxyKib = 0;
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    const Node& node = aBed.deployment.nodes[i];
+    agents += ProcessorTimeOf(node.agent) - before[i].agent;
+    proxies += ProcessorTimeOf(node.proxy) - before[i].proxy;
+    const std::int64_t resident = ResidentMemoryOf(node.agent);
+    worstAgentKib = std::max(worstAgentKib, resident);
+    agentKib += resident;
+    proxyKib += ResidentMemoryOf(node.proxy);
+  }
+  const auto nodes = static_cast<double>(before.size());
+  const double time = static_cast<double>(aArguments.seconds) * 1e6;
+  const boost::json::object result{
+    { "nodes", before.size() },
+    { "agent_core_percent",
+      static_cast<double>(agents.count()) / nodes / time * 100 },
+    { "agent_kib", static_cast<double>(agentKib) / nodes },
+    { "agent_kib_worst", worstAgentKib },
+    { "proxy_core_percent",
+      static_cast<double>(proxies.count()) / nodes / time * 100 },
+    { "proxy_kib", static_cast<double>(proxyKib) / nodes }
+  };
+  if (aArguments.json) {
+    std::cout << boost::json::serialize(result) << '\n';
+    return 0;
+  }
+  std::vector<std::vector<std::string>> rows{ { "per node", "value" } };
+  for (const auto& field : result)
+    rows.push_back({ field.key(), boost::json::serialize(field.value()) });
+  PrintTable(rows);
+  return 0;
+}
+
 } // namespace
 
 int
@@ -127,6 +351,17 @@
   load->add_option("--seed", arguments.load.seed, "Of the choices made");
   CLI::App* failover = app.add_subcommand("failover", "Gaps after losses");
   failover->add_option("--rounds", arguments.failover.rounds, "Of each kind");
+  CLI::App* config =
+    app.add_subcommand("config", "Time until changes are in force");
+  config->add_option("--changes", arguments.changes, "How many");
+  app.add_subcommand("leaving", "Work on databases that are leaving");
+  app.add_subcommand("stop", "A planned stop of the last node, under load");
+  CLI::App* overhead = app.add_subcommand(
+    "overhead", "Reads through a proxy against the database itself");
+  overhead->add_option("--reads", arguments.reads, "How many of each");
+  CLI::App* control =
+    app.add_subcommand("control", "What agents and proxies use while idle");
+  control->add_option("--seconds", arguments.seconds, "How long");
   CLI11_PARSE(app, aCount, aValues);
 
   std::signal(SIGPIPE, SIG_IGN);
@@ -138,9 +373,13 @@
     return 2;
   }
   bed.deployment = std::move(*deployment);
-  if (app.got_subcommand("demo"))
-    return RunDemo(bed);
-  if (app.got_subcommand("load"))
-    return RunLoad(bed, arguments);
-  return RunFailover(bed, arguments);
+  using Experiment = int (*)(Bed&, const Arguments&);
+  const std::map<std::string, Experiment> experiments{
+    { "demo", RunDemo },         { "load", RunLoad },
+    { "failover", RunFailover }, { "config", RunConfig },
+    { "leaving", RunLeaving },   { "stop", RunStop },
+    { "overhead", RunOverhead }, { "control", RunControl },
+  };
+  return experiments.at(app.get_subcommands().front()->get_name())(bed,
+                                                                   arguments);
 }
