--- a/Libraries/LibSettings/SettingsTable.cpp
+++ b/Libraries/LibSettings/SettingsTable.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <numeric>
+#include <sstream>
 
 namespace Settings {
 
@@ -41,6 +42,19 @@
          std::to_string(aSpec.most) + ", not \"" + std::string(aValue) + '"';
 }
 
+std::optional<std::string>
+CheckChoice(const SettingSpec& aSpec, std::string_view aValue)
+{
+  std::istringstream words{ std::string(aSpec.unit) };
+  std::string word;
+  while (std::getline(words >> std::ws, word, ',')) {
+    if (word == aValue)
+      return std::nullopt;
+  }
+  return "must be one of " + std::string(aSpec.unit) + ", not \"" +
+         std::string(aValue) + '"';
+}
+
 std::optional<std::string>
 CheckAddress(std::string_view aValue)
 {
@@ -111,6 +125,8 @@
       return CheckAddress(aValue);
     case SettingType::AddressList:
       return CheckAddressList(aValue);
+    case SettingType::Choice:
+      return CheckChoice(aSpec, aValue);
   }
   return std::nullopt;
 }
--- a/Libraries/LibSettings/include/LibSettings/SettingsTable.h
+++ b/Libraries/LibSettings/include/LibSettings/SettingsTable.h
@@ -21,14 +21,17 @@
   Boolean,
   Address,
   AddressList,
+  /** One of the words that SettingSpec::unit lists. */
+  Choice,
 };
 
-inline constexpr Core::EnumNames<SettingType, 5> kSettingTypeNames{ {
+inline constexpr Core::EnumNames<SettingType, 6> kSettingTypeNames{ {
   { { SettingType::Text, "text" },
     { SettingType::Integer, "integer" },
     { SettingType::Boolean, "boolean" },
     { SettingType::Address, "ip:port" },
-    { SettingType::AddressList, "ip:port, ip:port, ..." } },
+    { SettingType::AddressList, "ip:port, ip:port, ..." },
+    { SettingType::Choice, "one of" } },
 } };
 
 /** All that is known of one setting; checks, help and docs come from it. */
@@ -37,6 +40,7 @@
   /** "section.key" */
   std::string_view name;
   SettingType type = SettingType::Text;
+  /** The unit of a number, or the words of a choice. */
   std::string_view unit;
   std::int64_t least = 0;
   std::int64_t most = 0;
--- a/Tests/LibSettings/TestFleetSettings.cpp
+++ b/Tests/LibSettings/TestFleetSettings.cpp
@@ -30,6 +30,7 @@
   { "[queue]\nlongest = many\n", { "f:2", "whole number from 1" } },
   { "[queue]\nlongest = 0\n", { "f:2" } },
   { "[queue]\nweighted = yes\n", { "true or false" } },
+  { "[reads]\npolicy = nearest\n", { "must be one of least_wait" } },
   { "nonsense\n", { "f:1", "neither" } },
   { "[exception a]\nscope = group=g\nkey = queue.longest\nvalue = 5\n",
     { "[exception a]", "has no reason" } },
