--- a/Libraries/LibAgent/AgentServer.cpp
+++ b/Libraries/LibAgent/AgentServer.cpp
@@ -1,8 +1,8 @@
 #include <LibAgent/AgentServer.h>
 
-#include <LibAgent/GroupWatcher.h>
 #include "OperatorInterface.h"
 #include "PeerSpread.h"
+#include <LibAgent/GroupWatcher.h>
 
 #include <LibCore/Log.h>
 #include <LibEndpoint/HttpEndpointLink.h>
@@ -34,14 +34,6 @@
 constexpr int kMostRecordTries = 1800;
 constexpr int kOwnerDigits = 12;
 
-std::int64_t
-WallClockMs()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 } // namespace
 
 /** Gives the group watchers what they need of the agent. */
@@ -102,7 +94,7 @@
   , random_(Core::Random::FromSystem())
   , client_(aLoop, aSettings.Text("node.name"))
   , platform_(client_, aSettings.Address("platform.address"))
-  , store_(platform_, &WallClockMs)
+  , store_(platform_, &Core::WallClockMilliseconds)
   , host_(std::make_unique<Host>(*this))
   , spread_(std::make_unique<PeerSpread>(aLoop,
                                          aSettings,
@@ -252,7 +244,9 @@
 void
 AgentServer::Tick()
 {
-  Refresh();
+  // Everything else reports its changes; only staleness comes by itself.
+  if (spread_->IsCurrent() != view_.isCurrent)
+    Refresh();
 }
 
 void
@@ -391,8 +385,8 @@
     if (aKept)
       return;
     loop_.DeferFor(kRecordRetry, [this, aKeyEnd, aRecord, aTries] {
-        Record(aKeyEnd, aRecord, aTries + 1);
-      });
+      Record(aKeyEnd, aRecord, aTries + 1);
+    });
   });
 }
 
--- a/Libraries/LibAgent/PeerSpread.cpp
+++ b/Libraries/LibAgent/PeerSpread.cpp
@@ -60,10 +60,7 @@
 std::uint64_t
 FirstIncarnation()
 {
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
+  return static_cast<std::uint64_t>(Core::WallClockMilliseconds());
 }
 
 } // namespace
@@ -160,6 +157,14 @@
     listener_();
 }
 
+void
+PeerSpread::ReportMembers()
+{
+  if (std::exchange(reportedMembers_, members_.Revision()) !=
+      members_.Revision())
+    Changed();
+}
+
 void
 PeerSpread::Call(const Wire::Address& aAddress,
                  HttpMethod aMethod,
@@ -187,13 +192,11 @@
   members_.SetSettings(
     { fleet_.Milliseconds("membership.suspect_ms"),
       std::max<Core::Duration>(period * 4, std::chrono::milliseconds(1500)) });
-  const auto before = members_.Working();
   if (const auto member = members_.NextToPing(loop_.Now()))
     Ping(member->agent, member->name);
   else if (!seeds_.empty())
     Ping(seeds_[random_.Below(seeds_.size())], "");
-  if (members_.Working() != before)
-    Changed();
+  ReportMembers();
 }
 
 void
@@ -220,11 +223,9 @@
                       ? Wire::ParseObject(aOutcome.answer.body, findings)
                       : std::nullopt;
   if (body) {
-    const auto before = members_.Working();
     members_.OnHeard(aName, loop_.Now());
     TakeDigest(*body, aAddress, aAskedAt);
-    if (members_.Working() != before)
-      Changed();
+    ReportMembers();
     return;
   }
   for (const Membership::MemberNews& news : members_.All()) {
@@ -303,7 +304,6 @@
       HttpAnswer::Json(HttpStatus::BadRequest, Wire::FindingsToJson(findings)));
     return;
   }
-  const auto before = members_.Working();
   // The sender's own news comes first and tells where it can be asked.
   Wire::Address from;
   Core::LastReason reason;
@@ -314,8 +314,7 @@
   }
   TakeDigest(*body, from, loop_.Now());
   aReply->Send(HttpAnswer::Json(HttpStatus::Ok, Digest()));
-  if (members_.Working() != before)
-    Changed();
+  ReportMembers();
 }
 
 boost::json::object
--- a/Libraries/LibAgent/PeerSpread.h
+++ b/Libraries/LibAgent/PeerSpread.h
@@ -76,6 +76,8 @@
             const boost::json::object& aBody,
             Wire::HttpCallback aCallback);
   void Changed();
+  /** Reports a change if the members have changed since the last report. */
+  void ReportMembers();
 
   Core::Loop& loop_;
   std::string name_;
@@ -92,6 +94,7 @@
   Settings::FleetSettings fleet_;
   Membership::VmList list_;
   std::uint64_t listVersion_ = 0;
+  std::uint64_t reportedMembers_ = 0;
   bool isFetchingConfiguration_ = false;
   bool isFetchingList_ = false;
   std::function<void()> listener_;
--- a/Libraries/LibCore/Clock.cpp
+++ b/Libraries/LibCore/Clock.cpp
@@ -9,6 +9,13 @@
     std::chrono::steady_clock::now());
 }
 
+long long
+WallClockMilliseconds()
+{
+  return ToMilliseconds(std::chrono::duration_cast<Duration>(
+    std::chrono::system_clock::now().time_since_epoch()));
+}
+
 long long
 ToMilliseconds(Duration aDuration)
 {
--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -1,11 +1,12 @@
 #include <LibCore/Log.h>
 
+#include <LibCore/Clock.h>
+
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
 
-#include <chrono>
 #include <iostream>
 #include <string>
 #include <utility>
@@ -40,9 +41,7 @@
   // Without StartLog (in tests) there is no sink of ours, so stay silent.
   if (ProcessName().empty())
     return;
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-    std::chrono::system_clock::now().time_since_epoch());
-  boost::json::object line{ { "time_ms", now.count() },
+  boost::json::object line{ { "time_ms", WallClockMilliseconds() },
                             { "process", ProcessName() },
                             { "what", aWhat } };
   for (auto& fact : aFacts)
--- a/Libraries/LibCore/include/LibCore/Clock.h
+++ b/Libraries/LibCore/include/LibCore/Clock.h
@@ -36,6 +36,13 @@
   Instant now_{};
 };
 
+/**
+ * The time on the wall in milliseconds since 1970: for records and expiry, and
+ * never for anything that safety depends on.
+ */
+long long
+WallClockMilliseconds();
+
 /** Whole milliseconds of aDuration, rounded down. */
 long long
 ToMilliseconds(Duration aDuration);
--- a/Libraries/LibHistory/HistoryChecker.cpp
+++ b/Libraries/LibHistory/HistoryChecker.cpp
@@ -96,8 +96,7 @@
                              const std::string& aAnswered)
 {
   if (aAsked != aAnswered)
-    Add(ViolationKind::Mismatched,
-        aAsked + " got the answer to " + aAnswered);
+    Add(ViolationKind::Mismatched, aAsked + " got the answer to " + aAnswered);
 }
 
 void
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -66,6 +66,7 @@
 void
 MemberTable::SetListed(const std::vector<Member>& aMembers, Core::Instant aNow)
 {
+  ++revision_;
   for (auto& [name, entry] : entries_)
     entry.isListed = false;
   for (const Member& member : aMembers) {
@@ -142,6 +143,7 @@
   aEntry.news.state = aState;
   aEntry.changedAt = aNow;
   aEntry.told = 0;
+  ++revision_;
 }
 
 void
@@ -242,6 +244,7 @@
 MemberTable::Leave()
 {
   isLeaving_ = true;
+  ++revision_;
   ++incarnation_;
 }
 
--- a/Libraries/LibMembership/include/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/include/LibMembership/MemberTable.h
@@ -86,6 +86,8 @@
   /** This member is stopping. */
   void Leave();
 
+  /** Rises whenever Working() may have changed. */
+  std::uint64_t Revision() const { return revision_; }
   /** Members that are given work: alive or suspected, not stopping. */
   std::vector<Member> Working() const;
   /** Up to aMost others that are alive, at random. */
@@ -110,6 +112,7 @@
   Member self_;
   std::uint64_t incarnation_;
   bool isLeaving_ = false;
+  std::uint64_t revision_ = 0;
   MemberTableSettings settings_;
   Core::Random& random_;
   std::map<std::string, Entry> entries_;
--- a/Libraries/LibProxy/GroupHome.cpp
+++ b/Libraries/LibProxy/GroupHome.cpp
@@ -267,8 +267,8 @@
     return;
   Admission::Ticket ticket;
   ticket.deadline = context_.loop.Now() + kLedgerSweep;
-  const Endpoint::Batch batch =
-    Request::Ledger::ExpireBatch(book_.HighestTerm(), WallClockMilliseconds());
+  const Endpoint::Batch batch = Request::Ledger::ExpireBatch(
+    book_.HighestTerm(), Core::WallClockMilliseconds());
   gate->Acquire(
     ticket,
     nullptr,
--- a/Libraries/LibProxy/RunnerSupport.cpp
+++ b/Libraries/LibProxy/RunnerSupport.cpp
@@ -2,14 +2,6 @@
 
 namespace Proxy {
 
-std::int64_t
-WallClockMilliseconds()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 Core::Instant
 DeadlineOf(GroupHome& aHome, const Request::StatementRequest& aRequest)
 {
--- a/Libraries/LibProxy/RunnerSupport.h
+++ b/Libraries/LibProxy/RunnerSupport.h
@@ -4,10 +4,6 @@
 
 namespace Proxy {
 
-/** The time on the wall, in milliseconds since 1970; only for expiry. */
-std::int64_t
-WallClockMilliseconds();
-
 /** The deadline of a request that came in now. */
 Core::Instant
 DeadlineOf(GroupHome& aHome, const Request::StatementRequest& aRequest);
--- a/Libraries/LibProxy/WriteRunner.cpp
+++ b/Libraries/LibProxy/WriteRunner.cpp
@@ -84,7 +84,7 @@
 std::int64_t
 WriteRunner::ExpiresAt() const
 {
-  return WallClockMilliseconds() +
+  return Core::WallClockMilliseconds() +
          home_.Fleet().Integer("requests.ledger_expiry_ms",
                                home_.ScopeOf(request_.kind));
 }
--- a/Libraries/LibProxy/include/LibProxy/GroupHome.h
+++ b/Libraries/LibProxy/include/LibProxy/GroupHome.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibAdmission/RetryBudget.h>
-#include <LibCore/Scheduler.h>
 #include <LibCore/Random.h>
+#include <LibCore/Scheduler.h>
 #include <LibEndpoint/GroupBook.h>
 #include <LibMembership/FleetView.h>
 #include <LibMetrics/Metrics.h>
--- a/Libraries/LibRequest/Ledger.cpp
+++ b/Libraries/LibRequest/Ledger.cpp
@@ -107,8 +107,7 @@
   if (!isRow)
     return std::nullopt;
   aAffected = (*row)[1].get_int64();
-  return (*row)[0].get_string() == kRun ? LedgerRow::Run
-                                        : LedgerRow::Tombstone;
+  return (*row)[0].get_string() == kRun ? LedgerRow::Run : LedgerRow::Tombstone;
 }
 
 } // namespace Request
--- a/Libraries/LibWire/HttpServer.cpp
+++ b/Libraries/LibWire/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -118,13 +119,14 @@
       server_.SendNow(request, aAnswer);
       return;
     }
-    server_.loop_.DeferFor(server_.latency_, [&server = server_,
-       alive = serverAlive_,
-       request,
-       answer = std::move(aAnswer)] {
-        if (*alive)
-          server.SendNow(request, answer);
-      });
+    server_.loop_.DeferFor(server_.latency_,
+                           [&server = server_,
+                            alive = serverAlive_,
+                            request,
+                            answer = std::move(aAnswer)] {
+                             if (*alive)
+                               server.SendNow(request, answer);
+                           });
   }
 
 private:
@@ -192,6 +194,15 @@
   closedListener_ = std::move(aListener);
 }
 
+bool
+HttpServer::IsOpen(ConnectionNumber aConnection) const
+{
+  return std::any_of(
+    connections_.begin(), connections_.end(), [aConnection](const auto& aEntry) {
+      return aEntry.second == aConnection;
+    });
+}
+
 void
 HttpServer::Drain()
 {
@@ -283,10 +294,11 @@
     RunHandler(request, reply);
     return;
   }
-  loop_.DeferFor(latency_, [this, alive = alive_, request = std::move(request), reply] {
-      if (*alive)
-        RunHandler(request, reply);
-    });
+  loop_.DeferFor(latency_,
+                 [this, alive = alive_, request = std::move(request), reply] {
+                   if (*alive)
+                     RunHandler(request, reply);
+                 });
 }
 
 void
--- a/Libraries/LibWire/include/LibWire/HttpServer.h
+++ b/Libraries/LibWire/include/LibWire/HttpServer.h
@@ -58,6 +58,7 @@
   /** Requests that have come in and have not been answered. */
   std::size_t InProgress() const { return inProgress_; }
   std::size_t Connections() const { return connections_.size(); }
+  bool IsOpen(ConnectionNumber aConnection) const;
 
 private:
   class Reply;
--- a/Services/StandInDatabase/DatabaseServer.cpp
+++ b/Services/StandInDatabase/DatabaseServer.cpp
@@ -246,8 +246,12 @@
     return;
   }
   ++connecting_;
-  loop_.DeferFor(options_.connectTime, [this, connection = aRequest.connection, aReply] {
+  loop_.DeferFor(
+    options_.connectTime, [this, connection = aRequest.connection, aReply] {
       --connecting_;
+      // A client that went while it was being let in would stay for ever.
+      if (!server_.IsOpen(connection))
+        return;
       runner_->OpenClient(connection);
       aReply->Send(HttpAnswer::Json(
         HttpStatus::Ok, boost::json::object{ { "database", options_.name } }));
@@ -307,7 +311,8 @@
     aReply->Send(std::move(answer));
     return;
   }
-  loop_.DeferFor(faults_.LateAnswers(), [aReply, answer] { aReply->Send(answer); });
+  loop_.DeferFor(faults_.LateAnswers(),
+                 [aReply, answer] { aReply->Send(answer); });
 }
 
 boost::json::object
--- a/Services/StandInDatabase/ExchangeRunner.cpp
+++ b/Services/StandInDatabase/ExchangeRunner.cpp
@@ -134,12 +134,11 @@
     writer_ = aWaiting.connection;
   const Core::Duration time = aWaiting.time;
   loop_.DeferFor(time, [this, waiting = std::move(aWaiting)] {
-      boost::json::object answer =
-        Execute(waiting.connection, waiting.exchange);
-      --running_;
-      waiting.callback(std::move(answer));
-      StartWaiting();
-    });
+    boost::json::object answer = Execute(waiting.connection, waiting.exchange);
+    --running_;
+    waiting.callback(std::move(answer));
+    StartWaiting();
+  });
 }
 
 boost::json::object
--- a/Services/StandInPlatform/PlatformServer.cpp
+++ b/Services/StandInPlatform/PlatformServer.cpp
@@ -288,9 +288,9 @@
 PlatformServer::PublishList()
 {
   loop_.DeferFor(listLag_, [this, list = list_] {
-      shownList_ = list;
-      ++shownVersion_;
-    });
+    shownList_ = list;
+    ++shownVersion_;
+  });
 }
 
 HttpAnswer
--- a/Tests/LibRequest/TestLedger.cpp
+++ b/Tests/LibRequest/TestLedger.cpp
@@ -29,17 +29,14 @@
   BOOST_TEST(affected == 3);
   BOOST_CHECK(Ledger::ReadRow(AnswerWith(R"([["tombstone",0]])"), affected) ==
               LedgerRow::Tombstone);
-  BOOST_CHECK(Ledger::ReadRow(AnswerWith("[]"), affected) ==
-              LedgerRow::Absent);
+  BOOST_CHECK(Ledger::ReadRow(AnswerWith("[]"), affected) == LedgerRow::Absent);
 }
 
-BOOST_DATA_TEST_CASE(AnotherShapeTellsNothing,
-                     boost::unit_test::data::make({ "[[1]]",
-                                                    "[[1,2]]",
-                                                    R"([["run","x"]])",
-                                                    R"([["run",1,2]])",
-                                                    "[7]" }),
-                     rows)
+BOOST_DATA_TEST_CASE(
+  AnotherShapeTellsNothing,
+  boost::unit_test::data::make(
+    { "[[1]]", "[[1,2]]", R"([["run","x"]])", R"([["run",1,2]])", "[7]" }),
+  rows)
 {
   std::int64_t affected = 0;
   BOOST_TEST(!Ledger::ReadRow(AnswerWith(rows), affected));
--- /dev/null
+++ b/Tests/LibWire/TestHttpConnection.cpp
@@ -0,0 +1,117 @@
+#define BOOST_TEST_MODULE HttpConnection
+#include <LibWire/HttpConnection.h>
+#include <LibWire/HttpServer.h>
+#include <LibWire/Secret.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Wire;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Fixture
+{
+  Core::Loop loop;
+
+  /** A socket that listens and that nobody serves but this test. */
+  static std::pair<int, Address> Listen()
+  {
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    ::bind(listener, reinterpret_cast<sockaddr*>(&address), size);
+    ::listen(listener, 4);
+    ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    return { listener, { "127.0.0.1", ntohs(address.sin_port) } };
+  }
+  HttpOutcome Call(HttpConnection& aConnection, milliseconds aTimeout)
+  {
+    HttpCall call;
+    call.target = "/x";
+    call.timeout = aTimeout;
+    HttpOutcome outcome;
+    aConnection.Send(call, [&](HttpOutcome aOutcome) {
+      outcome = std::move(aOutcome);
+      loop.Stop();
+    });
+    loop.Run();
+    return outcome;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(ARefusedConnectionSentNothing, Fixture)
+{
+  const auto [listener, address] = Listen();
+  ::close(listener);
+  HttpConnection connection(loop, address, "");
+  BOOST_CHECK(Call(connection, milliseconds(2000)).delivery ==
+              Delivery::NotSent);
+  BOOST_TEST(!connection.IsUsable());
+}
+
+BOOST_FIXTURE_TEST_CASE(AConnectionClosedBeforeItsAnswerIsLost, Fixture)
+{
+  const auto [listener, address] = Listen();
+  HttpConnection connection(loop, address, "");
+  const auto timer = loop.After(milliseconds(100), [listener = listener] {
+    ::close(::accept(listener, nullptr, nullptr));
+  });
+  BOOST_CHECK(Call(connection, milliseconds(5000)).delivery == Delivery::Lost);
+  ::close(listener);
+}
+
+BOOST_FIXTURE_TEST_CASE(ASilentConnectionTimesOutAndIsNotUsedAgain, Fixture)
+{
+  const auto [listener, address] = Listen();
+  HttpConnection connection(loop, address, "");
+  BOOST_CHECK(Call(connection, milliseconds(100)).delivery ==
+              Delivery::TimedOut);
+  BOOST_TEST(!connection.IsUsable());
+  BOOST_CHECK(Call(connection, milliseconds(100)).delivery ==
+              Delivery::NotSent);
+  ::close(listener);
+}
+
+BOOST_FIXTURE_TEST_CASE(AServerAnswersItsRoutes, Fixture)
+{
+  HttpServer server(loop);
+  server.Route(HttpMethod::Get,
+               "/{word}",
+               [](const HttpRequest& aRequest, const HttpReplyHandle& aReply) {
+                 HttpAnswer answer;
+                 answer.status = 200;
+                 answer.body = aRequest.captures[0];
+                 aReply->Send(std::move(answer));
+               });
+  Core::LastReason reason;
+  const auto address = server.Listen({ "127.0.0.1", 0 }, reason);
+  BOOST_REQUIRE(address);
+  HttpConnection connection(loop, *address, "");
+  const HttpOutcome outcome = Call(connection, milliseconds(2000));
+  BOOST_TEST(outcome.IsOk());
+  BOOST_TEST(outcome.answer.body == "x");
+  BOOST_TEST(connection.IsUsable());
+}
+
+BOOST_AUTO_TEST_CASE(OnlyTheWholeSecretIsRight)
+{
+  BOOST_TEST(IsBearerOf("Bearer abc", "abc"));
+  for (const char* wrong : { "",
+                             "abc",
+                             "Bearer ab",
+                             "Bearer abcd",
+                             "Bearer ",
+                             "Bearer abcabc",
+                             "bearer abc" })
+    BOOST_TEST(!IsBearerOf(wrong, "abc"));
+  BOOST_TEST(!IsBearerOf("Bearer ", ""));
+}
--- a/Tests/Simulation/FakeDatabase.cpp
+++ b/Tests/Simulation/FakeDatabase.cpp
@@ -71,8 +71,7 @@
     meta.joining = true;
     log.clear();
   }
-  state_ =
-    std::make_unique<StandIn::ReplicaState>(meta, std::move(log), *this);
+  state_ = std::make_unique<StandIn::ReplicaState>(meta, std::move(log), *this);
   isUp_ = true;
   Rebuild();
 }
@@ -241,7 +240,7 @@
 FakeDatabase::Fence(const Endpoint::ControlOrder& aOrder)
 {
   Core::LastReason reason;
-  const bool accepted = 
+  const bool accepted =
     state_->Fence(aOrder.term, aOrder.owner, aOrder.admits, reason);
   if (state_->Role() == StandIn::ReplicaRole::Fenced) {
     ++round_;
@@ -295,23 +294,26 @@
                                state_->Log().position,
                                state_->TermAt(state_->Log().position) };
   FakeDatabase* source = primary->second;
-  network_.Send(name_, source->name_, source->time_, [this, source, request, aRound] {
-    if (!source->isUp_)
-      return;
-    // A place that does not match is walked back here, in one go.
-    StandIn::LogRequest place = request;
-    auto batch = source->state_->Serve(place, kMostEntriesABatch);
-    while (batch && !batch->matched) {
-      place.afterPosition = batch->retryFrom;
-      place.afterTerm = state_->TermAt(batch->retryFrom);
-      batch = source->state_->Serve(place, kMostEntriesABatch);
-    }
-    if (!batch)
-      return;
-    network_.Send(source->name_, name_, time_, [this, batch = *batch, aRound] {
-      time_.DeferFor(lag_, [this, batch, aRound] { TakeBatch(batch, aRound); });
+  network_.Send(
+    name_, source->name_, source->time_, [this, source, request, aRound] {
+      if (!source->isUp_)
+        return;
+      // A place that does not match is walked back here, in one go.
+      StandIn::LogRequest place = request;
+      auto batch = source->state_->Serve(place, kMostEntriesABatch);
+      while (batch && !batch->matched) {
+        place.afterPosition = batch->retryFrom;
+        place.afterTerm = state_->TermAt(batch->retryFrom);
+        batch = source->state_->Serve(place, kMostEntriesABatch);
+      }
+      if (!batch)
+        return;
+      network_.Send(
+        source->name_, name_, time_, [this, batch = *batch, aRound] {
+          time_.DeferFor(lag_,
+                         [this, batch, aRound] { TakeBatch(batch, aRound); });
+        });
     });
-  });
   // A lost answer must not end the loop.
   time_.DeferFor(lag_ + kPullTimeout, [this, aRound, pull = ++pulls_] {
     if (pull == pulls_)
@@ -339,10 +341,9 @@
 }
 
 void
-FakeDatabase::AwaitChange(
-  const std::optional<Endpoint::DatabaseReport>& aKnown,
-  Core::Duration aWait,
-  std::function<void()> aCallback)
+FakeDatabase::AwaitChange(const std::optional<Endpoint::DatabaseReport>& aKnown,
+                          Core::Duration aWait,
+                          std::function<void()> aCallback)
 {
   const bool isKnown = aKnown && aKnown->log == state_->Log() &&
                        aKnown->promised == state_->Meta().promised;
--- a/Tests/Simulation/FakeLink.cpp
+++ b/Tests/Simulation/FakeLink.cpp
@@ -19,12 +19,13 @@
           std::function<void(Answer)> aCallback)
     : time_(&aTime)
     , life_(aTime.Life())
-    , callback_(std::make_shared<std::function<void(Answer)>>(
-        std::move(aCallback)))
+    , callback_(
+        std::make_shared<std::function<void(Answer)>>(std::move(aCallback)))
   {
-    aTime.DeferFor(aTimeout, [first = *this, answer = std::move(aTimeoutAnswer)] {
-      first.Give(answer);
-    });
+    aTime.DeferFor(aTimeout,
+                   [first = *this, answer = std::move(aTimeoutAnswer)] {
+                     first.Give(answer);
+                   });
   }
   void Give(Answer aAnswer) const
   {
@@ -83,18 +84,17 @@
     auto& network = network_;
     auto& database = database_;
     auto& time = time_;
-    network_.Send(
-      actor_,
-      database_.Name(),
-      database_.Time(),
-      [first, &network, &database, &time, actor = actor_] {
-        if (!database.IsUp())
-          return;
-        const std::uint64_t number = database.Connect();
-        network.Send(database.Name(), actor, time, [first, number] {
-          first.Give(number);
-        });
-      });
+    network_.Send(actor_,
+                  database_.Name(),
+                  database_.Time(),
+                  [first, &network, &database, &time, actor = actor_] {
+                    if (!database.IsUp())
+                      return;
+                    const std::uint64_t number = database.Connect();
+                    network.Send(database.Name(), actor, time, [first, number] {
+                      first.Give(number);
+                    });
+                  });
   }
 
   void Run(const Endpoint::Batch& aBatch,
@@ -117,15 +117,15 @@
     auto& network = network_;
     auto& database = database_;
     auto& time = time_;
-    network_.Send(actor_,
-                  database_.Name(),
-                  database_.Time(),
-                  [=, &network, &database, &time, actor = actor_,
-                   number = number_] {
-                    database.Time().DeferFor(kRunTime, [=, &network, &database, &time] {
-                      Execute(first, network, database, time, actor, number, aBatch);
-                    });
-                  });
+    network_.Send(
+      actor_,
+      database_.Name(),
+      database_.Time(),
+      [=, &network, &database, &time, actor = actor_, number = number_] {
+        database.Time().DeferFor(kRunTime, [=, &network, &database, &time] {
+          Execute(first, network, database, time, actor, number, aBatch);
+        });
+      });
   }
   bool IsUsable() const override { return isUsable_; }
   void Close() override
@@ -202,23 +202,23 @@
   auto& database = database_;
   auto& network = network_;
   auto& time = time_;
-  network_.Send(
-    actor_,
-    database_.Name(),
-    database_.Time(),
-    [first, aQuestion, &database, &network, &time, actor = actor_] {
-      if (!database.IsUp())
-        return;
-      database.AwaitChange(
-        aQuestion.known,
-        aQuestion.wait,
-        [first, &database, &network, &time, actor] {
-          const auto report = database.Report();
-          network.Send(database.Name(), actor, time, [first, report] {
-            first.Give(report);
-          });
-        });
-    });
+  network_.Send(actor_,
+                database_.Name(),
+                database_.Time(),
+                [first, aQuestion, &database, &network, &time, actor = actor_] {
+                  if (!database.IsUp())
+                    return;
+                  database.AwaitChange(
+                    aQuestion.known,
+                    aQuestion.wait,
+                    [first, &database, &network, &time, actor] {
+                      const auto report = database.Report();
+                      network.Send(database.Name(),
+                                   actor,
+                                   time,
+                                   [first, report] { first.Give(report); });
+                    });
+                });
 }
 
 void
@@ -239,9 +239,8 @@
       if (!database.IsUp())
         return;
       const auto answer = run();
-      network.Send(database.Name(), actor, time, [first, answer] {
-        first.Give(answer);
-      });
+      network.Send(
+        database.Name(), actor, time, [first, answer] { first.Give(answer); });
     });
 }
 
--- a/Tests/Simulation/Network.cpp
+++ b/Tests/Simulation/Network.cpp
@@ -21,8 +21,7 @@
   const auto draw = static_cast<int>(random_.Below(kThousand));
   if (isCut || draw < lossPerThousand_)
     return;
-  std::uint64_t delay =
-    kLeastMicroseconds + random_.Below(kSpreadMicroseconds);
+  std::uint64_t delay = kLeastMicroseconds + random_.Below(kSpreadMicroseconds);
   if (static_cast<int>(random_.Below(kThousand)) < latePerThousand_)
     delay += random_.Below(kMostLateMicroseconds);
   aToTime.DeferFor(Core::Duration(static_cast<std::int64_t>(delay)),
--- a/Tests/Simulation/Scenario.cpp
+++ b/Tests/Simulation/Scenario.cpp
@@ -35,16 +35,15 @@
 bool
 TakeEvent(Scenario& aScenario, const Words& aWords)
 {
-  static const Words kActions{ "kill",    "restart", "lose-file", "freeze",
-                               "thaw",    "isolate", "deafen",    "mute",
-                               "heal",    "lag",     "silence",   "mix-up" };
+  static const Words kActions{ "kill", "restart", "lose-file", "freeze",
+                               "thaw", "isolate", "deafen",    "mute",
+                               "heal", "lag",     "silence",   "mix-up" };
   std::int64_t at = 0;
   ScenarioEvent event;
-  const bool fits = (aWords.size() == 3 || aWords.size() == 4) &&
-                    ToNumber(aWords[0], at) &&
-                    std::find(kActions.begin(), kActions.end(), aWords[1]) !=
-                      kActions.end() &&
-                    (aWords.size() == 3 || ToNumber(aWords[3], event.amount));
+  const bool fits =
+    (aWords.size() == 3 || aWords.size() == 4) && ToNumber(aWords[0], at) &&
+    std::find(kActions.begin(), kActions.end(), aWords[1]) != kActions.end() &&
+    (aWords.size() == 3 || ToNumber(aWords[3], event.amount));
   if (!fits)
     return false;
   event.at = std::chrono::milliseconds(at);
--- a/Tests/Simulation/ScenarioRun.cpp
+++ b/Tests/Simulation/ScenarioRun.cpp
@@ -32,10 +32,9 @@
 bool
 ScenarioResult::Has(History::ViolationKind aKind) const
 {
-  return std::any_of(
-    violations.begin(), violations.end(), [aKind](const auto& aOne) {
-      return aOne.kind == aKind;
-    });
+  return std::any_of(violations.begin(),
+                     violations.end(),
+                     [aKind](const auto& aOne) { return aOne.kind == aKind; });
 }
 
 std::string
@@ -127,10 +126,7 @@
   {
     return links_.Make(aDatabase);
   }
-  std::string NewOwner() override
-  {
-    return name_ + '#' + run_.random_.Hex(8);
-  }
+  std::string NewOwner() override { return name_ + '#' + run_.random_.Hex(8); }
   void RecordPromotion(const std::string&,
                        const Failover::Promotion&,
                        Failover::Trouble) override
@@ -170,13 +166,12 @@
       [this, &aOther, aDatabase, take = std::move(aTake)] {
         if (!aOther.IsUp())
           return;
-        aOther.watcher_->Probe(
-          aDatabase, [this, &aOther, take](bool aAnswers) {
-            run_.network_.Send(
-              aOther.name_, name_, time_, [take, &aOther, aAnswers] {
-                take({ aOther.dataCentre_, !aAnswers });
-              });
-          });
+        aOther.watcher_->Probe(aDatabase, [this, &aOther, take](bool aAnswers) {
+          run_.network_.Send(
+            aOther.name_, name_, time_, [take, &aOther, aAnswers] {
+              take({ aOther.dataCentre_, !aAnswers });
+            });
+        });
       });
   }
 
@@ -229,8 +224,8 @@
   {
     if (time_.Now() >= end_)
       return;
-    const auto pause = static_cast<std::int64_t>(run_.random_.Below(
-      static_cast<std::uint64_t>(kThink.count()) * 2));
+    const auto pause = static_cast<std::int64_t>(
+      run_.random_.Below(static_cast<std::uint64_t>(kThink.count()) * 2));
     time_.DeferFor(Core::Duration(pause), [this, aSession] { Step(aSession); });
   }
 
@@ -274,7 +269,8 @@
     SendWrite(aSession, request);
   }
 
-  void SendWrite(std::size_t aSession, const Request::StatementRequest& aRequest)
+  void SendWrite(std::size_t aSession,
+                 const Request::StatementRequest& aRequest)
   {
     SendTo(PickHome(),
            aRequest,
@@ -350,8 +346,7 @@
         row.size() == 2 && row[1].is_string() ? row[1].as_string().c_str() : "";
       run_.history_.RecordAnswer(aTag, found);
       if (found == aTag)
-        run_.history_.RecordOwnRead(
-          NameOf(aSession), aTag, row[0].as_int64());
+        run_.history_.RecordOwnRead(NameOf(aSession), aTag, row[0].as_int64());
       run_.history_.RecordPosition(NameOf(aSession),
                                    aAnswer->token.PositionOf(kGroup));
     }
@@ -364,10 +359,10 @@
   }
 
   /** Sends to a home and calls back once; without an answer, with nothing. */
-  void SendTo(Home& aHome,
-              const Request::StatementRequest& aRequest,
-              std::function<void(const std::optional<Request::RequestAnswer>&)>
-                aCallback)
+  void SendTo(
+    Home& aHome,
+    const Request::StatementRequest& aRequest,
+    std::function<void(const std::optional<Request::RequestAnswer>&)> aCallback)
   {
     auto once = std::make_shared<
       std::function<void(const std::optional<Request::RequestAnswer>&)>>(
@@ -423,15 +418,14 @@
     info.slots = 5;
     info.connections = 35;
     infos_.push_back(info);
-    databases_.push_back(std::make_unique<FakeDatabase>(
-      info.name, time_, network_, directory_));
+    databases_.push_back(
+      std::make_unique<FakeDatabase>(info.name, time_, network_, directory_));
   }
   for (int i = 0; i < aScenario.watchers; ++i)
     watchers_.push_back(
       std::make_unique<Watcher>(*this, "watcher" + std::to_string(i), i));
   for (int i = 0; i < aScenario.homes; ++i)
-    homes_.push_back(
-      std::make_unique<Home>(*this, "home" + std::to_string(i)));
+    homes_.push_back(std::make_unique<Home>(*this, "home" + std::to_string(i)));
   callers_ = std::make_unique<Callers>(*this);
 }
 
--- a/Tests/Simulation/VirtualTime.cpp
+++ b/Tests/Simulation/VirtualTime.cpp
@@ -91,17 +91,15 @@
 {
   auto task = std::make_shared<std::function<void()>>(std::move(aTask));
   auto repeat = std::make_shared<std::function<void()>>();
-  *repeat = [this,
-             aPeriod,
-             weak = std::weak_ptr(task),
-             again = std::weak_ptr(repeat)] {
-    const auto live = weak.lock();
-    const auto self = again.lock();
-    if (!live)
-      return;
-    DeferFor(aPeriod, [self] { (*self)(); });
-    (*live)();
-  };
+  *repeat =
+    [this, aPeriod, weak = std::weak_ptr(task), again = std::weak_ptr(repeat)] {
+      const auto live = weak.lock();
+      const auto self = again.lock();
+      if (!live)
+        return;
+      DeferFor(aPeriod, [self] { (*self)(); });
+      (*live)();
+    };
   DeferFor(aPeriod, [repeat] { (*repeat)(); });
   return task;
 }
--- a/Tests/Simulation/VirtualTime.h
+++ b/Tests/Simulation/VirtualTime.h
@@ -3,8 +3,8 @@
 #include <LibCore/Scheduler.h>
 
 #include <map>
-#include <vector>
 #include <utility>
+#include <vector>
 
 namespace Simulation {
 
--- a/Utilities/mastichold-bench/LoadRun.cpp
+++ b/Utilities/mastichold-bench/LoadRun.cpp
@@ -197,7 +197,7 @@
   }
   if (++aStatement.attempt > kMostAttempts) {
     ++result_.unsettled;
-    history_.RecordStranded(aStatement.requestId);
+    history_.RecordStranded(aStatement.requestId + " (" + aAnswer.reason + ")");
     Pause(aCaller);
     return;
   }
--- a/Utilities/mastichold-bench/Report.cpp
+++ b/Utilities/mastichold-bench/Report.cpp
@@ -1,5 +1,7 @@
 #include "Report.h"
 
+#include <LibCore/Table.h>
+
 #include <algorithm>
 #include <iostream>
 
@@ -40,26 +42,6 @@
 
 } // namespace
 
-void
-PrintTable(const std::vector<std::vector<std::string>>& aRows)
-{
-  std::vector<std::size_t> widths;
-  for (const auto& row : aRows) {
-    widths.resize(std::max(widths.size(), row.size()));
-    for (std::size_t i = 0; i < row.size(); ++i)
-      widths[i] = std::max(widths[i], row[i].size());
-  }
-  for (const auto& row : aRows) {
-    std::string line;
-    for (std::size_t i = 0; i < row.size(); ++i) {
-      line += row[i];
-      if (i + 1 < row.size())
-        line.append(widths[i] - row[i].size() + 2, ' ');
-    }
-    std::cout << line << '\n';
-  }
-}
-
 std::string
 Milliseconds(Core::Duration aTime)
 {
@@ -90,7 +72,7 @@
                      std::to_string(kind.notRun),
                      Milliseconds(kind.time.Quantile(0.5)),
                      Milliseconds(kind.time.Quantile(0.99)) });
-  PrintTable(rows);
+  Core::PrintTable(rows);
   std::cout << "answers " << aResult.answers << ", replica share of reads "
             << static_cast<int>(aResult.ReplicaShare() * 1000) / 10.0
             << "%, weighted service "
@@ -136,7 +118,7 @@
                      Milliseconds(QuantileOf(set.gaps, 0.5)),
                      Milliseconds(QuantileOf(set.gaps, 1.0)),
                      std::to_string(set.never) });
-  PrintTable(rows);
+  Core::PrintTable(rows);
 }
 
 boost::json::array
--- a/Utilities/mastichold-bench/Report.h
+++ b/Utilities/mastichold-bench/Report.h
@@ -10,10 +10,6 @@
 
 namespace Bench {
 
-/** Prints rows as a table for people. */
-void
-PrintTable(const std::vector<std::vector<std::string>>& aRows);
-
 std::string
 Milliseconds(Core::Duration aTime);
 
--- a/Utilities/mastichold-bench/main.cpp
+++ b/Utilities/mastichold-bench/main.cpp
@@ -5,6 +5,8 @@
 #include "Report.h"
 #include "StreamRun.h"
 
+#include <LibCore/Table.h>
+
 #include <CLI/CLI.hpp>
 
 #include <csignal>
@@ -143,13 +145,14 @@
   if (aArguments.json)
     std::cout << boost::json::serialize(TimesToJson(times)) << '\n';
   else
-    PrintTable({ { "change in force everywhere",
-                   "changes",
-                   "median ms",
-                   "p99 ms",
-                   "worst ms" },
-                 RowOf(std::to_string(aBed.deployment.nodes.size()) + " nodes",
-                       times) });
+    Core::PrintTable(
+      { { "change in force everywhere",
+          "changes",
+          "median ms",
+          "p99 ms",
+          "worst ms" },
+        RowOf(std::to_string(aBed.deployment.nodes.size()) + " nodes",
+              times) });
   return 0;
 }
 
@@ -189,12 +192,12 @@
                    { "cut_off", cutOff } })
               << '\n';
   else
-    PrintTable({ { "last new work after the list",
-                   "databases",
-                   "median ms",
-                   "p99 ms",
-                   "worst ms" },
-                 RowOf("leaving", lastWork) });
+    Core::PrintTable({ { "last new work after the list",
+                         "databases",
+                         "median ms",
+                         "p99 ms",
+                         "worst ms" },
+                       RowOf("leaving", lastWork) });
   std::cout << (aArguments.json ? "" : "requests cut off: ")
             << (aArguments.json ? "" : std::to_string(cutOff) + "\n");
   constexpr Core::Duration kLimit = std::chrono::seconds(3);
@@ -265,10 +268,10 @@
       std::to_string((median - QuantileOf(result.direct, 0.5)).count())
     };
   };
-  PrintTable({ { "way", "median us", "added us" },
-               row("direct", result.direct),
-               row("entry is home", result.atHome),
-               row("with the hop", result.withHop) });
+  Core::PrintTable({ { "way", "median us", "added us" },
+                     row("direct", result.direct),
+                     row("entry is home", result.atHome),
+                     row("with the hop", result.withHop) });
   std::cout << "crowd: " << result.crowdReads << " reads in "
             << Milliseconds(result.crowdTime) << " ms, "
             << static_cast<long long>(perCore)
@@ -325,7 +328,7 @@
   std::vector<std::vector<std::string>> rows{ { "per node", "value" } };
   for (const auto& field : result)
     rows.push_back({ field.key(), boost::json::serialize(field.value()) });
-  PrintTable(rows);
+  Core::PrintTable(rows);
   return 0;
 }
 
--- a/Utilities/mastichold/Console.cpp
+++ b/Utilities/mastichold/Console.cpp
@@ -3,7 +3,6 @@
 #include <LibCore/Loop.h>
 #include <LibWire/HttpClient.h>
 
-#include <algorithm>
 #include <iostream>
 
 namespace Console {
@@ -49,26 +48,6 @@
   return std::nullopt;
 }
 
-void
-PrintTable(const std::vector<std::vector<std::string>>& aRows)
-{
-  std::vector<std::size_t> widths;
-  for (const auto& row : aRows) {
-    widths.resize(std::max(widths.size(), row.size()));
-    for (std::size_t i = 0; i < row.size(); ++i)
-      widths[i] = std::max(widths[i], row[i].size());
-  }
-  for (const auto& row : aRows) {
-    std::string line;
-    for (std::size_t i = 0; i < row.size(); ++i) {
-      line += row[i];
-      if (i + 1 < row.size())
-        line.append(widths[i] - row[i].size() + 2, ' ');
-    }
-    std::cout << line << '\n';
-  }
-}
-
 std::string
 CellOf(const boost::json::value& aValue)
 {
--- a/Utilities/mastichold/Console.h
+++ b/Utilities/mastichold/Console.h
@@ -36,10 +36,6 @@
     const std::string& aPath,
     const std::string& aBody = "");
 
-/** Prints rows of equal length as a table for people. */
-void
-PrintTable(const std::vector<std::vector<std::string>>& aRows);
-
 /** aValue as one table cell. */
 std::string
 CellOf(const boost::json::value& aValue);
--- a/Utilities/mastichold/main.cpp
+++ b/Utilities/mastichold/main.cpp
@@ -1,6 +1,7 @@
 #include "Console.h"
 
 #include <LibCore/Random.h>
+#include <LibCore/Table.h>
 #include <LibSettings/FleetSettings.h>
 #include <LibSettings/ProcessSettings.h>
 
@@ -119,7 +120,7 @@
     }
     rows.push_back(std::move(row));
   }
-  Console::PrintTable(rows);
+  Core::PrintTable(rows);
 }
 
 ExitCode
@@ -322,16 +323,17 @@
 void
 PrintSettings()
 {
-  std::cout << "# Settings\n\n"
-               "This page is what `mastichold settings` prints.\n\n"
-               "## A daemon's own INI file\n\n"
-            << Settings::ToMarkdown(Settings::ProcessSettingsTable())
-            << "\n## The fleet's configuration\n\n"
-               "Defaults for all; `[kind NAME]` sets a `kind.` setting for one "
-               "kind of request; an\n`[exception NAME]` has `scope` (`group=`, "
-               "`kind=`, `data_centre=`), `key`, `value` and\n`reason`, and the "
-               "most specific one wins.\n\n"
-            << Settings::ToMarkdown(Settings::FleetSettingsTable());
+  std::cout
+    << "# Settings\n\n"
+       "This page is what `mastichold settings` prints.\n\n"
+       "## A daemon's own INI file\n\n"
+    << Settings::ToMarkdown(Settings::ProcessSettingsTable())
+    << "\n## The fleet's configuration\n\n"
+       "Defaults for all; `[kind NAME]` sets a `kind.` setting for one "
+       "kind of request; an\n`[exception NAME]` has `scope` (`group=`, "
+       "`kind=`, `data_centre=`), `key`, `value` and\n`reason`, and the "
+       "most specific one wins.\n\n"
+    << Settings::ToMarkdown(Settings::FleetSettingsTable());
 }
 
 } // namespace
