--- a/Libraries/LibSettings/FleetSettings.cpp
+++ b/Libraries/LibSettings/FleetSettings.cpp
@@ -256,11 +256,18 @@
     const std::size_t dot = name.rfind('.');
     std::string& section = sections[name.substr(0, dot)];
     section += name.substr(dot + 1);
-    section += " = " + value + '\n';
+    section += " = ";
+    section += value;
+    section += '\n';
   }
   std::string text;
-  for (const auto& [section, entries] : sections)
-    text += '[' + section + "]\n" + entries + '\n';
+  for (const auto& [section, entries] : sections) {
+    text += '[';
+    text += section;
+    text += "]\n";
+    text += entries;
+    text += '\n';
+  }
   for (const SettingException& exception : exceptions_) {
     text += "[exception " + exception.name + "]\n";
     text += "scope = " + ScopeToText(exception.scope) + '\n';
--- a/Libraries/LibWire/HttpServer.cpp
+++ b/Libraries/LibWire/HttpServer.cpp
@@ -198,9 +198,9 @@
 HttpServer::IsOpen(ConnectionNumber aConnection) const
 {
   return std::any_of(
-    connections_.begin(), connections_.end(), [aConnection](const auto& aEntry) {
-      return aEntry.second == aConnection;
-    });
+    connections_.begin(),
+    connections_.end(),
+    [aConnection](const auto& aEntry) { return aEntry.second == aConnection; });
 }
 
 void
--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -89,6 +89,7 @@
 BOOST_AUTO_TEST_CASE(AMemberThatGoesMovesOnlyItsOwnGroups)
 {
   std::vector<Member> members;
+  members.reserve(9);
   for (int i = 0; i < 9; ++i)
     members.push_back(Named("node-" + std::to_string(i)));
   std::vector<Member> fewer = members;
--- a/Tests/LibSession/TestSessionToken.cpp
+++ b/Tests/LibSession/TestSessionToken.cpp
@@ -5,7 +5,6 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-using Session::LogPosition;
 using Session::SessionToken;
 
 BOOST_AUTO_TEST_CASE(KeepsThePositionOfEveryGroup)
--- a/Tests/LibWire/TestHttpConnection.cpp
+++ b/Tests/LibWire/TestHttpConnection.cpp
@@ -26,7 +26,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    ::bind(listener, reinterpret_cast<sockaddr*>(&address), size);
+    const int bound =
+      ::bind(listener, reinterpret_cast<sockaddr*>(&address), size);
+    BOOST_REQUIRE(bound == 0);
     ::listen(listener, 4);
     ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
     return { listener, { "127.0.0.1", ntohs(address.sin_port) } };
--- a/Tests/Simulation/Network.h
+++ b/Tests/Simulation/Network.h
@@ -13,9 +13,8 @@
 class Network
 {
 public:
-  Network(VirtualTime& aTime, Core::Random& aRandom)
-    : time_(aTime)
-    , random_(aRandom)
+  explicit Network(Core::Random& aRandom)
+    : random_(aRandom)
   {
   }
 
@@ -35,7 +34,6 @@
   void SetLate(int aPerThousand) { latePerThousand_ = aPerThousand; }
 
 private:
-  VirtualTime& time_;
   Core::Random& random_;
   std::set<std::string> deaf_;
   std::set<std::string> mute_;
--- a/Tests/Simulation/ScenarioRun.cpp
+++ b/Tests/Simulation/ScenarioRun.cpp
@@ -402,7 +402,7 @@
 ScenarioRun::ScenarioRun(const Scenario& aScenario, std::uint64_t aSeed)
   : scenario_(aScenario)
   , random_(aSeed)
-  , network_(time_, random_)
+  , network_(random_)
 {
   FakeLinkFactory::echoCheck =
     aScenario.ignoresEcho ? EchoCheck::Ignored : EchoCheck::Checked;
--- a/Utilities/mastichold-bench/Report.cpp
+++ b/Utilities/mastichold-bench/Report.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Table.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
 
 namespace Bench {
@@ -56,7 +57,7 @@
     return Core::Duration::zero();
   std::sort(aValues.begin(), aValues.end());
   const auto last = static_cast<double>(aValues.size() - 1);
-  return aValues[static_cast<std::size_t>(aShare * last + 0.5)];
+  return aValues[static_cast<std::size_t>(std::lround(aShare * last))];
 }
 
 void
