LibProxy, LibEndpoint: Mend what a newcomer's reading found

Cause: reading what had grown. A bad token was known by how a reason began; a commit on a database that had left the group was not looked for; rows of a wrong shape in a database's answer would have thrown; a peer whose request reached its deadline was passed over for a second, which made second homes under overload; two names in the bench said something else. Change: those. The demo runs both presets, as the README says.

--- a/Libraries/LibAgent/GroupWatcher.cpp
+++ b/Libraries/LibAgent/GroupWatcher.cpp
@@ -191,12 +191,6 @@
   DoPromotion(promotion_->Start());
 }
 
-Core::Duration
-GroupWatcher::OrderTimeout() const
-{
-  return kOrderTimeout;
-}
-
 void
 GroupWatcher::DoPromotion(
   const std::vector<Failover::PromotionAction>& aActions)
@@ -231,7 +225,7 @@
   const Failover::PromotionOptions& options = promotion_->Options();
   links_.at(aDatabase)->Fence(
     { options.term, options.owner, options.admits },
-    OrderTimeout(),
+    kOrderTimeout,
     [this, aDatabase, round = round_, alive = alive_, askedAt = loop_.Now()](
       const std::optional<Endpoint::ControlAnswer>& aAnswer) {
       if (!*alive || round != round_)
@@ -248,7 +242,7 @@
   const Failover::PromotionOptions& options = promotion_->Options();
   links_.at(aDatabase)->Promote(
     { options.term, options.owner, {} },
-    OrderTimeout(),
+    kOrderTimeout,
     [this, aDatabase, round = round_, alive = alive_, askedAt = loop_.Now()](
       const std::optional<Endpoint::ControlAnswer>& aAnswer) {
       if (!*alive || round != round_)
@@ -271,7 +265,7 @@
     aOrder,
     aPrimary,
     primary->second.address.ToText(),
-    OrderTimeout(),
+    kOrderTimeout,
     [this, aDatabase, alive = alive_, askedAt = loop_.Now()](
       const std::optional<Endpoint::ControlAnswer>& aAnswer) {
       if (*alive && aAnswer)
--- a/Libraries/LibAgent/include/LibAgent/GroupWatcher.h
+++ b/Libraries/LibAgent/include/LibAgent/GroupWatcher.h
@@ -76,7 +76,6 @@
               const Endpoint::ControlOrder& aOrder,
               const std::string& aPrimary);
   void FinishPromotion();
-  Core::Duration OrderTimeout() const;
 
   Core::Scheduler& loop_;
   WatcherHost& host_;
--- a/Libraries/LibEndpoint/HttpEndpointConnection.cpp
+++ b/Libraries/LibEndpoint/HttpEndpointConnection.cpp
@@ -31,6 +31,17 @@
   return body;
 }
 
+/** Moves the array named aKey to aTarget, if it is one. */
+void
+TakeArray(boost::json::object& aObject,
+          std::string_view aKey,
+          boost::json::array& aTarget)
+{
+  boost::json::value* value = aObject.if_contains(aKey);
+  if (value != nullptr && value->is_array())
+    aTarget = std::move(value->get_array());
+}
+
 std::vector<StatementResult>
 ReadResults(boost::json::object& aBody)
 {
@@ -47,10 +58,8 @@
     result.affected =
       reader.OptionalInteger("affected", 0, std::numeric_limits<int>::max())
         .value_or(0);
-    if (boost::json::value* rows = item.get_object().if_contains("rows"))
-      result.rows = std::move(rows->as_array());
-    if (boost::json::value* columns = item.get_object().if_contains("columns"))
-      result.columns = std::move(columns->as_array());
+    TakeArray(item.get_object(), "rows", result.rows);
+    TakeArray(item.get_object(), "columns", result.columns);
     results.push_back(std::move(result));
   }
   return results;
--- a/Libraries/LibProxy/PeerRouter.cpp
+++ b/Libraries/LibProxy/PeerRouter.cpp
@@ -150,7 +150,10 @@
     Finish(aTry, std::move(result));
     return;
   }
-  downUntil_[aTry->node] = loop_.Now() + kDownTime;
+  // A request that reached its deadline says little of its home, which may
+  // just be busy; whether the member is alive is for the agents to find out.
+  if (aOutcome.delivery != Wire::Delivery::TimedOut)
+    downUntil_[aTry->node] = loop_.Now() + kDownTime;
   if (aOutcome.delivery != Wire::Delivery::NotSent)
     aTry->mayHaveRun = true;
   SendOn(aTry);
--- a/Libraries/LibProxy/ReadRunner.cpp
+++ b/Libraries/LibProxy/ReadRunner.cpp
@@ -180,7 +180,8 @@
     return;
   }
   if (!covers && IsTokenImpossible(aReport)) {
-    Finish(Outcome::NotRun, "/token: is further than anything the group has");
+    isBadToken_ = true;
+    Finish(Outcome::NotRun, "is further than anything the group has");
     return;
   }
   home_.PollNow();
@@ -241,7 +242,7 @@
   Request::RequestAnswer answer;
   answer.requestId = request_.requestId;
   answer.outcome = aOutcome;
-  answer.isBadRequest = aReason.starts_with("/token");
+  answer.isBadRequest = isBadToken_;
   answer.reason = std::move(aReason);
   answer.result = std::move(result_);
   answer.token = request_.token;
--- a/Libraries/LibProxy/ReadRunner.h
+++ b/Libraries/LibProxy/ReadRunner.h
@@ -48,6 +48,7 @@
   /** True once a replica's answer did not do, or none came. */
   bool primaryOnly_ = false;
   bool wasSent_ = false;
+  bool isBadToken_ = false;
   Core::Duration retryAfter_{ 0 };
   std::optional<Core::Duration> age_;
   Endpoint::StatementResult result_;
--- a/Libraries/LibProxy/WriteRunner.cpp
+++ b/Libraries/LibProxy/WriteRunner.cpp
@@ -63,9 +63,16 @@
   ArmDeadline();
   isCommit_ = true;
   database_ = aDatabase;
+  DatabaseGate* gate = home_.GateOf(aDatabase);
+  if (gate == nullptr) {
+    // The database has left the group, and the transaction went with it.
+    aConnection->Close();
+    Do(flow_.OnRefused("the database has left the group"));
+    return;
+  }
   const WriteAction action = flow_.StartSent();
   step_ = action.step;
-  ticket_ = home_.GateOf(aDatabase)->Acquire(
+  ticket_ = gate->Acquire(
     TicketOf(home_, request_.kind, deadline_),
     aConnection,
     [self = shared_from_this()](const ConnectionHandle& aGranted) {
@@ -75,8 +82,8 @@
                                                self->ExpiresAt()));
     },
     [self = shared_from_this(), aConnection](Core::Duration aRetryAfter) {
-      if (DatabaseGate* gate = self->home_.GateOf(self->database_))
-        gate->DropPinned(aConnection);
+      if (DatabaseGate* present = self->home_.GateOf(self->database_))
+        present->DropPinned(aConnection);
       self->OnRefused(aRetryAfter);
     });
 }
--- a/Meta/mastichold.sh
+++ b/Meta/mastichold.sh
@@ -296,9 +296,13 @@
 }
 
 demo() {
+  local which
   trap down EXIT
-  up --deployment tasmania --nodes 3
-  "$binaries/mastichold-bench" demo --deployment "$run/deployment.json"
+  for which in tasmania quebec; do
+    up --deployment "$which" --nodes 3
+    "$binaries/mastichold-bench" demo --deployment "$run/deployment.json"
+    down
+  done
 }
 
 case ${1:-} in
--- a/Utilities/mastichold-bench/OverheadRun.cpp
+++ b/Utilities/mastichold-bench/OverheadRun.cpp
@@ -79,12 +79,12 @@
                      home_ = i;
                  }
                  other_ = (home_ + 1) % nodes.size();
-                 FindHome();
+                 ConnectDirect();
                });
 }
 
 void
-OverheadRun::FindHome()
+OverheadRun::ConnectDirect()
 {
   const auto& databases = client_.Fleet().databases;
   const auto first =
--- a/Utilities/mastichold-bench/OverheadRun.h
+++ b/Utilities/mastichold-bench/OverheadRun.h
@@ -31,7 +31,7 @@
   void Start(std::function<void(OverheadResult)> aDone);
 
 private:
-  void FindHome();
+  void ConnectDirect();
   void ReadDirect();
   void ReadThrough(std::size_t aNode, std::vector<Core::Duration>& aTimes);
   void NextRound();
@@ -44,7 +44,6 @@
   std::string group_;
   std::size_t home_ = 0;
   std::size_t other_ = 0;
-  std::unique_ptr<Wire::HttpClient> database_;
   std::unique_ptr<Wire::HttpConnection> connection_;
   std::uint64_t exchange_ = 0;
   OverheadResult result_;
