LibCore: Free what was deferred when the loop goes

Cause: on a clean clone the sanitizers found 12 KB leaked in TestHttpConnection: a connection that was condemned just before its loop went was never freed, nor the task that was to free it. Ruled out: libevent's own once-events, which go with the base. Change: the loop owns its deferred tasks, and a condemned connection is owned by its task. Seen: TestHttpConnection failed under the sanitizers and passes.

--- a/Libraries/LibCore/Loop.cpp
+++ b/Libraries/LibCore/Loop.cpp
@@ -76,6 +76,11 @@
 Loop::~Loop()
 {
   signals_.clear();
+  // What was deferred may own connections, which need the base to close.
+  // Closing one may defer another.
+  while (!deferred_.empty()) {
+    const auto dropped = std::exchange(deferred_, {});
+  }
   event_base_free(base_);
 }
 
@@ -98,16 +103,19 @@
 void
 Loop::DeferFor(Duration aDelay, std::function<void()> aTask)
 {
-  auto* task = new std::function<void()>(std::move(aTask));
+  auto owned =
+    std::make_unique<DeferredTask>(DeferredTask{ *this, std::move(aTask) });
+  DeferredTask* task = owned.get();
+  deferred_.emplace(task, std::move(owned));
   const timeval interval = ToInterval(aDelay);
   event_base_once(
     base_,
     -1,
     EV_TIMEOUT,
     [](int, short, void* aTaskPointer) {
-      std::unique_ptr<std::function<void()>> owned(
-        static_cast<std::function<void()>*>(aTaskPointer));
-      (*owned)();
+      auto* due = static_cast<DeferredTask*>(aTaskPointer);
+      const auto running = due->loop.deferred_.extract(due);
+      due->task();
     },
     task,
     &interval);
--- a/Libraries/LibCore/include/LibCore/Loop.h
+++ b/Libraries/LibCore/include/LibCore/Loop.h
@@ -3,6 +3,7 @@
 #include <LibCore/Scheduler.h>
 
 #include <functional>
+#include <unordered_map>
 #include <vector>
 
 struct event_base;
@@ -33,9 +34,16 @@
   event_base* Base() const { return base_; }
 
 private:
+  struct DeferredTask
+  {
+    Loop& loop;
+    std::function<void()> task;
+  };
+
   MonotonicClock clock_;
   event_base* base_;
   std::vector<TimerHandle> signals_;
+  std::unordered_map<DeferredTask*, std::unique_ptr<DeferredTask>> deferred_;
 };
 
 } // namespace Core
--- a/Libraries/LibWire/HttpConnection.cpp
+++ b/Libraries/LibWire/HttpConnection.cpp
@@ -143,9 +143,11 @@
 {
   if (connection_ == nullptr)
     return;
-  evhttp_connection* connection = std::exchange(connection_, nullptr);
-  // The call may come from inside libevent's handling of this connection.
-  loop_.Defer([connection] { evhttp_connection_free(connection); });
+  const std::shared_ptr<evhttp_connection> connection(
+    std::exchange(connection_, nullptr), &evhttp_connection_free);
+  // The call may come from inside libevent's handling of this connection, so
+  // it is freed with the task.
+  loop_.Defer([connection] {});
 }
 
 } // namespace Wire
