LibCore: Read whole files in one place

Cause: a reading as a newcomer found the same lines for reading a file in seven places, each with its own way of taking a file that isn't there. Change: Core::ReadFile gives the text or nothing; the seven use it.

--- a/Libraries/LibAgent/PeerSpread.cpp
+++ b/Libraries/LibAgent/PeerSpread.cpp
@@ -1,14 +1,13 @@
 #include "PeerSpread.h"
 
+#include <LibCore/File.h>
 #include <LibCore/Log.h>
 #include <LibMembership/Rendezvous.h>
 #include <LibWire/FieldReader.h>
 #include <LibWire/Secret.h>
 
 #include <algorithm>
-#include <fstream>
 #include <limits>
-#include <sstream>
 #include <utility>
 
 namespace Agent {
@@ -47,15 +46,6 @@
   return member;
 }
 
-std::string
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 /** Rises with each start of a VM's agent, without anything being kept. */
 std::uint64_t
 FirstIncarnation()
@@ -459,21 +449,22 @@
 PeerSpread::PollStore()
 {
   const Core::Instant askedAt = loop_.Now();
-  store_.Load([this, askedAt](
-                const std::optional<Membership::Configuration>& aPresent) {
-    Core::Duration pause = fleet_.Milliseconds("configuration.poll_ms");
-    if (aPresent && aPresent->version == 0) {
-      store_.Found(ReadFile(firstConfigurationFile_), [this] { PollStore(); });
-      return;
-    }
-    if (aPresent) {
-      TakeConfiguration(*aPresent);
-      tracker_.OnConfirmed(aPresent->version, askedAt);
-    }
-    if (aPresent && !IsPoller())
-      pause *= kSlowPoll;
-    storeTimer_ = loop_.After(pause, [this] { PollStore(); });
-  });
+  store_.Load(
+    [this, askedAt](const std::optional<Membership::Configuration>& aPresent) {
+      Core::Duration pause = fleet_.Milliseconds("configuration.poll_ms");
+      if (aPresent && aPresent->version == 0) {
+        store_.Found(Core::ReadFile(firstConfigurationFile_).value_or(""),
+                     [this] { PollStore(); });
+        return;
+      }
+      if (aPresent) {
+        TakeConfiguration(*aPresent);
+        tracker_.OnConfirmed(aPresent->version, askedAt);
+      }
+      if (aPresent && !IsPoller())
+        pause *= kSlowPoll;
+      storeTimer_ = loop_.After(pause, [this] { PollStore(); });
+    });
 }
 
 void
--- a/Libraries/LibSettings/ProcessSettings.cpp
+++ b/Libraries/LibSettings/ProcessSettings.cpp
@@ -1,8 +1,8 @@
 #include <LibSettings/ProcessSettings.h>
 
+#include <LibCore/File.h>
 #include <LibSettings/IniReader.h>
 
-#include <fstream>
 #include <sstream>
 
 namespace Settings {
@@ -151,14 +151,12 @@
 std::optional<ProcessSettings>
 ProcessSettings::Load(const std::string& aPath, Core::Findings& aFindings)
 {
-  std::ifstream file(aPath);
-  if (!file) {
+  const auto text = Core::ReadFile(aPath);
+  if (!text) {
     aFindings.Add(aPath, "can't be read");
     return std::nullopt;
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return Parse(text.str(), aPath, aFindings);
+  return Parse(*text, aPath, aFindings);
 }
 
 std::string
--- a/Services/StandInDatabase/main.cpp
+++ b/Services/StandInDatabase/main.cpp
@@ -1,13 +1,12 @@
 #include "DatabaseServer.h"
 
+#include <LibCore/File.h>
 #include <LibCore/Log.h>
 
 #include <CLI/CLI.hpp>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -21,15 +20,6 @@
   std::int64_t latencyUs = 0;
 };
 
-std::string
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 void
 AddOptions(CLI::App& aApp,
            Arguments& aArguments,
@@ -72,7 +62,7 @@
     return 2;
   }
   options.listen = *listen;
-  options.schema = ReadFile(arguments.schemaFile);
+  options.schema = Core::ReadFile(arguments.schemaFile).value_or("");
   options.connectTime = std::chrono::milliseconds(arguments.connectMs);
   options.readTime = Core::Duration(arguments.readUs);
   options.writeTime = Core::Duration(arguments.writeUs);
--- a/Services/StandInPlatform/PlatformServer.cpp
+++ b/Services/StandInPlatform/PlatformServer.cpp
@@ -1,10 +1,10 @@
 #include "PlatformServer.h"
 
+#include <LibCore/File.h>
+
 #include <algorithm>
 #include <cstdlib>
-#include <fstream>
 #include <limits>
-#include <sstream>
 #include <utility>
 
 namespace StandIn {
@@ -66,11 +66,8 @@
 bool
 PlatformServer::LoadVms(const std::string& aPath, Core::LastReason& aReason)
 {
-  std::ifstream file(aPath);
-  std::ostringstream text;
-  text << file.rdbuf();
   HttpRequest request;
-  request.body = text.str();
+  request.body = Core::ReadFile(aPath).value_or("");
   const HttpAnswer answer = SetVms(request);
   if (answer.status == static_cast<int>(HttpStatus::Ok))
     return true;
--- a/Tests/Simulation/Scenario.cpp
+++ b/Tests/Simulation/Scenario.cpp
@@ -1,6 +1,7 @@
 #include "Scenario.h"
 
-#include <fstream>
+#include <LibCore/File.h>
+
 #include <functional>
 #include <map>
 #include <sstream>
@@ -163,16 +164,14 @@
 std::optional<Scenario>
 Scenario::Load(const std::string& aPath, Core::Findings& aFindings)
 {
-  std::ifstream file(aPath);
-  if (!file) {
+  const auto text = Core::ReadFile(aPath);
+  if (!text) {
     aFindings.Add(aPath, "can't be read");
     return std::nullopt;
   }
-  std::ostringstream text;
-  text << file.rdbuf();
   Scenario scenario;
   scenario.name = aPath.substr(aPath.rfind('/') + 1);
-  scenario.Read(text.str(), scenario.name, aFindings);
+  scenario.Read(*text, scenario.name, aFindings);
   if (!aFindings.IsEmpty())
     return std::nullopt;
   return scenario;
--- a/Utilities/mastichold-bench/Deployment.cpp
+++ b/Utilities/mastichold-bench/Deployment.cpp
@@ -1,8 +1,9 @@
 #include "Deployment.h"
 
+#include <LibCore/File.h>
+
 #include <fstream>
 #include <set>
-#include <sstream>
 
 namespace Bench {
 
@@ -55,11 +56,9 @@
 std::optional<Deployment>
 Deployment::Load(const std::string& aPath, Core::LastReason& aReason)
 {
-  std::ifstream file(aPath);
-  std::ostringstream text;
-  text << file.rdbuf();
   boost::system::error_code error;
-  const auto value = boost::json::parse(text.str(), error);
+  const auto value =
+    boost::json::parse(Core::ReadFile(aPath).value_or(""), error);
   if (error)
     return aReason.Set(aPath + ": " + error.message());
   try {
--- a/Utilities/mastichold/main.cpp
+++ b/Utilities/mastichold/main.cpp
@@ -1,5 +1,6 @@
 #include "Console.h"
 
+#include <LibCore/File.h>
 #include <LibCore/Random.h>
 #include <LibCore/Table.h>
 #include <LibSettings/FleetSettings.h>
@@ -8,9 +9,7 @@
 #include <CLI/CLI.hpp>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -34,13 +33,11 @@
   std::int64_t basedOn = 0;
 };
 
+/** A file's text without the line breaks at its end. */
 std::string
-ReadFile(const std::string& aPath)
+ReadTrimmed(const std::string& aPath)
 {
-  std::ifstream file(aPath);
-  std::ostringstream text;
-  text << file.rdbuf();
-  std::string content = text.str();
+  std::string content = Core::ReadFile(aPath).value_or("");
   while (content.ends_with('\n'))
     content.pop_back();
   return content;
@@ -53,11 +50,11 @@
   if (const char* secret = std::getenv("MASTICHOLD_SECRET"))
     target.secret = secret;
   if (!aArguments.secretFile.empty())
-    target.secret = ReadFile(aArguments.secretFile);
+    target.secret = ReadTrimmed(aArguments.secretFile);
   if (!aArguments.deployment.empty()) {
     boost::system::error_code error;
     const auto file =
-      boost::json::parse(ReadFile(aArguments.deployment), error);
+      boost::json::parse(ReadTrimmed(aArguments.deployment), error);
     if (error || !file.is_object() || !file.as_object().contains("nodes")) {
       std::cerr << aArguments.deployment << ": is not a deployment's file\n";
       return std::nullopt;
