--- a/Tests/Simulation/ScenarioRun.h
+++ b/Tests/Simulation/ScenarioRun.h
@@ -13,6 +13,9 @@
 
 namespace Simulation {
 
+/** The one group that a scenario has. */
+inline constexpr const char* kGroup = "group";
+
 /** What a run of a scenario with one seed came to. */
 struct ScenarioResult
 {
