--- a/Services/StandInDatabase/DatabaseServer.cpp
+++ b/Services/StandInDatabase/DatabaseServer.cpp
@@ -1,5 +1,7 @@
 #include "DatabaseServer.h"
 
+#include "FaultyReply.h"
+
 #include <LibCore/Log.h>
 #include <LibCore/Random.h>
 
@@ -85,6 +87,7 @@
   , server_(aLoop)
   , client_(aLoop, options_.name)
   , engine_(options_.directory + '/' + options_.name + ".data", options_.schema)
+  , pollers_(aLoop)
 {
 }
 
@@ -94,7 +97,7 @@
   if (!OpenFiles(aReason))
     return std::nullopt;
   runner_ = std::make_unique<ExchangeRunner>(loop_, options_, *state_, engine_);
-  runner_->OnCommit([this] { NotifyChange(); });
+  runner_->OnCommit([this] { pollers_.NotifyChange(); });
   follower_ = std::make_unique<LogFollower>(loop_, client_, *state_, faults_);
   follower_->OnBatch([this](const LogBatch& aBatch) { TakeBatch(aBatch); });
   server_.OnConnectionClosed([this](Wire::ConnectionNumber aConnection) {
@@ -171,34 +174,6 @@
     });
 }
 
-/** Passes an answer on unless a fault cuts its way out. */
-class FaultyReply final : public Wire::HttpReply
-{
-public:
-  FaultyReply(const Faults& aFaults,
-              std::string aSender,
-              Wire::ConnectionNumber aConnection,
-              HttpReplyHandle aInner)
-    : faults_(aFaults)
-    , sender_(std::move(aSender))
-    , connection_(aConnection)
-    , inner_(std::move(aInner))
-  {
-  }
-
-  void Send(HttpAnswer aAnswer) override
-  {
-    if (!faults_.DropsAnswer(sender_, connection_))
-      inner_->Send(std::move(aAnswer));
-  }
-
-private:
-  const Faults& faults_;
-  std::string sender_;
-  Wire::ConnectionNumber connection_;
-  HttpReplyHandle inner_;
-};
-
 void
 DatabaseServer::Route(HttpMethod aMethod,
                       const std::string& aPattern,
@@ -247,12 +222,13 @@
   }
   ++connecting_;
   loop_.DeferFor(
-    options_.connectTime, [this, connection = aRequest.connection, aReply] {
+    options_.connectTime,
+    [this, connection = aRequest.connection, sender = aRequest.sender, aReply] {
       --connecting_;
       // A client that went while it was being let in would stay for ever.
       if (!server_.IsOpen(connection))
         return;
-      runner_->OpenClient(connection);
+      runner_->OpenClient(connection, sender);
       aReply->Send(HttpAnswer::Json(
         HttpStatus::Ok, boost::json::object{ { "database", options_.name } }));
     });
@@ -345,7 +321,7 @@
   const auto report = [this] {
     return HttpAnswer::Json(HttpStatus::Ok, Report());
   };
-  AnswerOnChange(
+  pollers_.AnswerOnChange(
     wait,
     aReply,
     [this, position, logTerm, promised, report]() -> std::optional<HttpAnswer> {
@@ -376,7 +352,7 @@
   // The first request of a follower is answered at once, so that it learns
   // where the term began even when there is nothing to send.
   const bool isFirst = QueryNumber(aRequest, "first") != 0;
-  AnswerOnChange(
+  pollers_.AnswerOnChange(
     isFirst ? Core::Duration::zero() : kLogPollWait,
     aReply,
     [this, wanted, answer]() -> std::optional<HttpAnswer> {
@@ -415,7 +391,7 @@
     Core::LogChange("fenced as primary", { { "term", term } });
     runner_->AbortAll();
   }
-  NotifyChange();
+  pollers_.NotifyChange();
   aReply->Send(ControlAnswer(accepted, reason));
 }
 
@@ -429,7 +405,7 @@
   const bool accepted = state_->Promote(term, owner, reason);
   if (accepted)
     Core::LogChange("primary", { { "term", term } });
-  NotifyChange();
+  pollers_.NotifyChange();
   aReply->Send(ControlAnswer(accepted, reason));
 }
 
@@ -457,7 +433,7 @@
     runner_->AbortAll();
     follower_->Start(*address);
   }
-  NotifyChange();
+  pollers_.NotifyChange();
   aReply->Send(ControlAnswer(accepted, reason));
 }
 
@@ -474,7 +450,7 @@
     for (std::uint64_t i = result.firstNew; i <= state_->Log().position; ++i)
       engine_.Apply(state_->Entries()[i - 1].payload, reason);
   }
-  NotifyChange();
+  pollers_.NotifyChange();
 }
 
 void
@@ -504,48 +480,4 @@
   aReply->Send(HttpAnswer::Json(HttpStatus::Ok, Report()));
 }
 
-void
-DatabaseServer::AnswerOnChange(Core::Duration aWait,
-                               const HttpReplyHandle& aReply,
-                               std::function<std::optional<HttpAnswer>()> aTry,
-                               std::function<HttpAnswer()> aLast)
-{
-  if (auto answer = aTry()) {
-    aReply->Send(std::move(*answer));
-    return;
-  }
-  if (aWait == Core::Duration::zero()) {
-    aReply->Send(aLast());
-    return;
-  }
-  pollers_.push_back({ aReply, std::move(aTry), std::move(aLast), {} });
-  const auto poller = std::prev(pollers_.end());
-  poller->timer = loop_.After(aWait, [this, poller] {
-    const Poller expired = std::move(*poller);
-    pollers_.erase(poller);
-    expired.reply->Send(expired.last());
-  });
-}
-
-void
-DatabaseServer::NotifyChange()
-{
-  // Changes come in bursts; one pass after the burst answers everybody.
-  if (std::exchange(notifying_, true))
-    return;
-  loop_.Defer([this] {
-    notifying_ = false;
-    for (auto poller = pollers_.begin(); poller != pollers_.end();) {
-      auto answer = poller->attempt();
-      if (!answer) {
-        ++poller;
-        continue;
-      }
-      const HttpReplyHandle reply = poller->reply;
-      poller = pollers_.erase(poller);
-      reply->Send(std::move(*answer));
-    }
-  });
-}
-
 } // namespace StandIn
--- a/Services/StandInDatabase/DatabaseServer.h
+++ b/Services/StandInDatabase/DatabaseServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ChangePollers.h"
 #include "DatabaseOptions.h"
 #include "ExchangeRunner.h"
 #include "Faults.h"
@@ -10,7 +11,6 @@
 #include <LibWire/HttpServer.h>
 
 #include <functional>
-#include <list>
 
 namespace StandIn {
 
@@ -62,21 +62,6 @@
   Wire::HttpAnswer ControlAnswer(bool aAccepted,
                                  const Core::LastReason& aReason) const;
 
-  /** Answers now if aTry can, else on the next change or when time is up. */
-  void AnswerOnChange(Core::Duration aWait,
-                      const Wire::HttpReplyHandle& aReply,
-                      std::function<std::optional<Wire::HttpAnswer>()> aTry,
-                      std::function<Wire::HttpAnswer()> aLast);
-  void NotifyChange();
-
-  struct Poller
-  {
-    Wire::HttpReplyHandle reply;
-    std::function<std::optional<Wire::HttpAnswer>()> attempt;
-    std::function<Wire::HttpAnswer()> last;
-    Core::TimerHandle timer;
-  };
-
   Core::Loop& loop_;
   DatabaseOptions options_;
   Wire::HttpServer server_;
@@ -87,8 +72,7 @@
   std::unique_ptr<ReplicaState> state_;
   std::unique_ptr<ExchangeRunner> runner_;
   std::unique_ptr<LogFollower> follower_;
-  std::list<Poller> pollers_;
-  bool notifying_ = false;
+  ChangePollers pollers_;
   std::size_t connecting_ = 0;
   std::string lastExchangeAnswer_;
 };
--- a/Services/StandInDatabase/ExchangeRunner.cpp
+++ b/Services/StandInDatabase/ExchangeRunner.cpp
@@ -43,9 +43,12 @@
 }
 
 void
-ExchangeRunner::OpenClient(Wire::ConnectionNumber aConnection)
+ExchangeRunner::OpenClient(Wire::ConnectionNumber aConnection,
+                           const std::string& aSender)
 {
-  clients_[aConnection].session = engine_.Open();
+  Client& client = clients_[aConnection];
+  client.session = engine_.Open();
+  client.sender = aSender;
 }
 
 void
@@ -73,12 +76,12 @@
   return clients_.contains(aConnection);
 }
 
-std::set<Wire::ConnectionNumber>
+std::map<Wire::ConnectionNumber, std::string>
 ExchangeRunner::OpenConnections() const
 {
-  std::set<Wire::ConnectionNumber> open;
+  std::map<Wire::ConnectionNumber, std::string> open;
   for (const auto& [connection, client] : clients_)
-    open.insert(connection);
+    open[connection] = client.sender;
   return open;
 }
 
--- a/Services/StandInDatabase/ExchangeRunner.h
+++ b/Services/StandInDatabase/ExchangeRunner.h
@@ -11,7 +11,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -48,7 +47,9 @@
   /** Called after each commit that appended to the log. */
   void OnCommit(std::function<void()> aListener);
 
-  void OpenClient(Wire::ConnectionNumber aConnection);
+  /** aSender is whom the connection's requests name. */
+  void OpenClient(Wire::ConnectionNumber aConnection,
+                  const std::string& aSender);
   /** Rolls back what the connection had open. */
   void CloseClient(Wire::ConnectionNumber aConnection);
   /** Ends every transaction; the data is about to change under them. */
@@ -56,7 +57,8 @@
 
   bool IsOpen(Wire::ConnectionNumber aConnection) const;
   std::size_t Clients() const { return clients_.size(); }
-  std::set<Wire::ConnectionNumber> OpenConnections() const;
+  /** The open connections, and who opened each. */
+  std::map<Wire::ConnectionNumber, std::string> OpenConnections() const;
 
   void Run(Wire::ConnectionNumber aConnection,
            Exchange aExchange,
@@ -67,6 +69,7 @@
   struct Client
   {
     std::unique_ptr<SqlSession> session;
+    std::string sender;
     /** What the open transaction has written so far. */
     std::vector<SqlStatement> written;
   };
--- a/Services/StandInDatabase/Faults.cpp
+++ b/Services/StandInDatabase/Faults.cpp
@@ -19,11 +19,36 @@
     aTarget = std::chrono::milliseconds(*value);
 }
 
+std::set<std::string>
+ReadNames(const boost::json::array& aNames,
+          const std::string& aPlace,
+          Core::Findings& aFindings)
+{
+  std::set<std::string> names;
+  for (const boost::json::value& name : aNames) {
+    if (name.is_string())
+      names.emplace(name.get_string());
+    else
+      aFindings.Add(aPlace, "must hold names only");
+  }
+  return names;
+}
+
 } // namespace
 
+void
+Faults::Silence(const OpenConnections& aOpen,
+                const std::set<std::string>& aNames)
+{
+  for (const auto& [connection, sender] : aOpen) {
+    if (aNames.empty() || aNames.contains(sender))
+      silent_.insert(connection);
+  }
+}
+
 void
 Faults::Set(const std::string& aBody,
-            const std::set<Wire::ConnectionNumber>& aOpen,
+            const OpenConnections& aOpen,
             Core::Findings& aFindings)
 {
   const auto body = Wire::ParseObject(aBody, aFindings);
@@ -33,24 +58,20 @@
   Wire::FieldReader reader(*body, aFindings);
   if (reader.Boolean("clear", false))
     changed = Faults{};
-  if (const auto* names = reader.OptionalArray("isolated_from")) {
-    changed.isolatedFrom_.clear();
-    for (const boost::json::value& name : *names) {
-      if (name.is_string())
-        changed.isolatedFrom_.emplace(name.get_string());
-      else
-        aFindings.Add("/isolated_from", "must hold names only");
-    }
-  }
+  if (const auto* names = reader.OptionalArray("isolated_from"))
+    changed.isolatedFrom_ = ReadNames(*names, "/isolated_from", aFindings);
   if (auto direction = reader.OptionalString("direction")) {
     if (auto value = kCutDirectionNames.ValueOf(*direction))
       changed.direction_ = *value;
     else
       aFindings.Add("/direction", "must be in, out or both");
   }
+  std::set<std::string> silenceOf;
+  if (const auto* names = reader.OptionalArray("silence_of"))
+    silenceOf = ReadNames(*names, "/silence_of", aFindings);
   if (auto silence = reader.OptionalString("silence")) {
     if (*silence == "open")
-      changed.silent_ = aOpen;
+      changed.Silence(aOpen, silenceOf);
     else if (*silence == "none")
       changed.silent_.clear();
     else
--- a/Services/StandInDatabase/Faults.h
+++ b/Services/StandInDatabase/Faults.h
@@ -5,6 +5,7 @@
 #include <LibCore/Findings.h>
 #include <LibWire/HttpMessage.h>
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -26,16 +27,20 @@
     { CutDirection::Both, "both" } },
 } };
 
+/** The client connections that are open, and who opened each. */
+using OpenConnections = std::map<Wire::ConnectionNumber, std::string>;
+
 /** The faults that a test has set on one stand-in database. */
 class Faults
 {
 public:
   /**
    * Reads a POST /faults body; absent fields keep what was set.
-   * aOpen are the connections that {"silence": "open"} silences.
+   * {"silence": "open"} silences aOpen, or those of them that the names in
+   * "silence_of" have opened.
    */
   void Set(const std::string& aBody,
-           const std::set<Wire::ConnectionNumber>& aOpen,
+           const OpenConnections& aOpen,
            Core::Findings& aFindings);
 
   /** True when a request from aSender on aConnection must not be seen. */
@@ -55,6 +60,8 @@
   bool TakeWrongAnswer();
 
 private:
+  void Silence(const OpenConnections& aOpen,
+               const std::set<std::string>& aNames);
   bool IsIsolated(const std::string& aPeer) const;
 
   std::set<std::string> isolatedFrom_;
