--- a/Tests/Processes/check.sh
+++ b/Tests/Processes/check.sh
@@ -143,6 +143,23 @@
   grep -qF '[[0]]' "$run/answer"
 }
 
+# Every open connection of every home goes silent; new ones work.
+silent_connections_are_replaced() {
+  local address name start
+  for address in $(grep -o '"group":"festival-1","address":"[^"]*' \
+    $run/deployment.json | sed 's/.*"//'); do
+    for name in hobart-1 launceston-1 devonport-1 huonville-1; do
+      post "$address/faults" \
+        "{\"silence\":\"open\",\"silence_of\":[\"$name\"]}" > /dev/null
+    done
+  done
+  start=$(date +%s)
+  post "$statements" '{"request_id":"silent-1","sql":"INSERT INTO fees VALUES(?,1)","params":["silent"],"write":true,"deadline_ms":8000}' > /dev/null
+  cat "$run/answer"
+  grep -qF '"outcome":"ok"' "$run/answer" || return 1
+  [ $(($(date +%s) - start)) -le 8 ]
+}
+
 survives_garbage() {
   local port
   for port in $(node_field 1 callers | sed 's/.*://'); do
@@ -163,10 +180,40 @@
 good='{"request_id":"x","sql":"SELECT 1"}'
 big=$(printf '"%01100000d"' 0)
 
+checks_settings() {
+  local node
+  for node in proxy agent; do
+    Build/release/bin/mastichold-$node --check \
+      --settings "$(node_field 1 settings)" || return 1
+    Build/release/bin/mastichold-$node --version || return 1
+    # Every finding at once, each with its line, and a way to end of its own.
+    printf '[node]\nnmae = x\n[proxy]\ncallers = here\n' > "$run/bad.ini"
+    Build/release/bin/mastichold-$node --check --settings "$run/bad.ini" \
+      > "$run/findings" 2>&1
+    [ $? -eq 2 ] || return 1
+    cat "$run/findings"
+    grep -qF 'bad.ini:2 [node] nmae' "$run/findings" &&
+      grep -qF 'the nearest is node.name' "$run/findings" &&
+      grep -qF 'bad.ini:4 [proxy] callers' "$run/findings" &&
+      grep -qF 'secrets.peers is missing' "$run/findings" || return 1
+  done
+}
+
+long_header_is_refused() {
+  local status
+  status=$(curl -s -o "$run/answer" -w '%{http_code}' \
+    -H "X-Long: $(printf '%020000d' 0)" "http://$node/v1/other")
+  echo "$status $(cat "$run/answer")"
+  [ "$status" = 400 ] || [ "$status" = 413 ] || [ "$status" = 431 ] || return 1
+  curl -fs "http://$operators/health"
+}
+
 settings_page_is_current() {
   "$console" settings | diff - docs/settings.md
 }
 
+check "--check names every finding with its line" checks_settings
+check "a long header is refused" long_header_is_refused
 check "docs/settings.md is what the tables say" settings_page_is_current
 check "idle agents stay below 2.4% of a core" idle_agents_are_cheap
 check "bad JSON is named" answers 400 "body, byte" "$statements" '{"a":'
@@ -194,6 +241,8 @@
 set_lag 5000
 check "a session reads its write on another node, at 5 s of lag" read_your_write
 set_lag 0
+check "silent connections are replaced by new ones" \
+  silent_connections_are_replaced
 check "of two racing operators one gets a conflict" racing_operators
 check "changes are in force everywhere" "$bench" config --changes 5
 check "every loss of a primary is overcome" "$bench" failover --rounds 1
