--- /dev/null
+++ b/Libraries/LibAuthority/DutyLease.cpp
@@ -0,0 +1,86 @@
+#include <LibAuthority/DutyLease.h>
+
+#include <utility>
+
+namespace Authority {
+
+DutyLease::DutyLease(std::string aKey,
+                     std::string aSelf,
+                     DutyLeaseTiming aTiming)
+  : key_(std::move(aKey))
+  , self_(std::move(aSelf))
+  , timing_(aTiming)
+{
+}
+
+void
+DutyLease::Observe(const StoredRow& aRow, Core::Instant aNow)
+{
+  const bool isNews = !hasObserved_ || aRow.version > version_;
+  hasObserved_ = true;
+  if (!isNews)
+    return;
+  version_ = aRow.version;
+  holder_ = aRow.value;
+  unchangedSince_ = aNow;
+  if (holder_ != self_) {
+    heldUntil_ = {};
+    token_ = 0;
+    return;
+  }
+  // A write of ours whose answer was lost. The lease begins with the next
+  // renewal, whose question's time is known.
+  if (token_ == 0)
+    token_ = aRow.version;
+  nextRenewal_ = aNow;
+}
+
+std::optional<StoredRow>
+DutyLease::NextWrite(Core::Instant aNow)
+{
+  if (!hasObserved_ || isWriting_ || isReleased_)
+    return std::nullopt;
+  const bool isMine = holder_ == self_;
+  if (isMine && aNow < nextRenewal_)
+    return std::nullopt;
+  const bool isFree = version_ == 0 || holder_.empty() ||
+                      aNow - unchangedSince_ > timing_.duration;
+  if (!isMine && !isFree)
+    return std::nullopt;
+  isWriting_ = true;
+  return StoredRow{ key_, self_, version_ };
+}
+
+void
+DutyLease::OnWritten(const WriteOutcome& aOutcome, Core::Instant aAskedAt)
+{
+  isWriting_ = false;
+  nextRenewal_ = aAskedAt + timing_.renewal;
+  if (aOutcome.result != WriteResult::Applied || aOutcome.version < version_)
+    return;
+  if (token_ == 0 || holder_ != self_)
+    token_ = aOutcome.version;
+  version_ = aOutcome.version;
+  holder_ = self_;
+  unchangedSince_ = aAskedAt;
+  heldUntil_ = aAskedAt + timing_.duration - timing_.safety;
+}
+
+std::optional<StoredRow>
+DutyLease::Release(Core::Instant aNow)
+{
+  isReleased_ = true;
+  const bool isHeld = Holds(aNow);
+  heldUntil_ = {};
+  if (!isHeld || isWriting_)
+    return std::nullopt;
+  return StoredRow{ key_, "", version_ };
+}
+
+bool
+DutyLease::HoldsFor(Core::Instant aNow, Core::Duration aMargin) const
+{
+  return holder_ == self_ && !isReleased_ && aNow + aMargin < heldUntil_;
+}
+
+} // namespace Authority
--- /dev/null
+++ b/Libraries/LibAuthority/GroupRecord.cpp
@@ -0,0 +1,79 @@
+#include <LibAuthority/GroupRecord.h>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Authority {
+
+namespace {
+
+/** Floors are seconds old at most, so few of the latest terms matter. */
+constexpr std::size_t kKeptStarts = 16;
+
+} // namespace
+
+void
+GroupRecord::Complete(std::string aPrimary,
+                      Session::Term aTerm,
+                      std::uint64_t aPosition)
+{
+  primary = std::move(aPrimary);
+  term = aTerm;
+  change.reset();
+  starts.push_back({ aTerm, aPosition });
+  if (starts.size() > kKeptStarts)
+    starts.erase(starts.begin());
+}
+
+std::string
+GroupRecord::ToText() const
+{
+  boost::json::object json{ { "term", term }, { "primary", primary } };
+  if (change)
+    json["candidate"] = change->candidate;
+  boost::json::array list;
+  for (const TermStart& start : starts)
+    list.push_back(boost::json::array{ start.term, start.position });
+  json["starts"] = std::move(list);
+  return boost::json::serialize(json);
+}
+
+std::optional<GroupRecord>
+GroupRecord::Parse(std::string_view aGroup,
+                   std::string_view aText,
+                   Core::LastReason& aReason)
+{
+  GroupRecord record;
+  record.group = aGroup;
+  try {
+    const boost::json::value json = boost::json::parse(aText);
+    const boost::json::object& fields = json.as_object();
+    record.term = fields.at("term").to_number<Session::Term>();
+    record.primary = fields.at("primary").as_string();
+    if (const auto* candidate = fields.if_contains("candidate"))
+      record.change = PrimaryChange{ std::string(candidate->as_string()) };
+    for (const auto& start : fields.at("starts").as_array())
+      record.starts.push_back(
+        { start.as_array().at(0).to_number<Session::Term>(),
+          start.as_array().at(1).to_number<std::uint64_t>() });
+  } catch (const std::exception& error) {
+    return aReason.Set("the record of " + record.group +
+                       " can't be read: " + error.what());
+  }
+  return record;
+}
+
+Session::LogPosition
+ClampToTerms(Session::LogPosition aPosition,
+             const std::vector<TermStart>& aStarts)
+{
+  for (const TermStart& start : aStarts) {
+    if (start.term > aPosition.term)
+      aPosition.position = std::min(aPosition.position, start.position);
+  }
+  return aPosition;
+}
+
+} // namespace Authority
--- /dev/null
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibAuthority/GroupRecord.h>
+#include <LibCore/Clock.h>
+
+#include <optional>
+
+namespace Authority {
+
+/**
+ * This node's right to use a group's primary: a lease of knowledge.
+ *
+ * An answer that shows no change of primary proves that none had begun when
+ * the question was asked. Whoever replaces a primary first writes that a
+ * change begins, and then waits for longer than a lease lasts. So until the
+ * lease that began with the question is over, no other database can have been
+ * promoted.
+ */
+class PrimaryAuthority
+{
+public:
+  explicit PrimaryAuthority(Core::Duration aLease)
+    : lease_(aLease)
+  {
+  }
+
+  /**
+   * The store held aRecord at some moment after aAskedAt. Gives true when that
+   * is news. An older record than the known one is ignored.
+   */
+  bool Observe(const GroupRecord& aRecord, Core::Instant aAskedAt);
+
+  /** No new record came in answer to a question that was asked at aAskedAt. */
+  void Renew(Core::Instant aAskedAt);
+
+  /** Ends the lease at once, whatever is observed of the known record later. */
+  void Revoke();
+
+  /** True while no other primary can have been promoted. */
+  bool Holds(Core::Instant aNow) const;
+
+  /** True while it holds for the primary of aTerm. */
+  bool HoldsFor(Session::Term aTerm, Core::Instant aNow) const;
+
+  const std::optional<GroupRecord>& Record() const { return record_; }
+  Core::Instant Until() const { return until_; }
+
+private:
+  Core::Duration lease_;
+  std::optional<GroupRecord> record_;
+  Core::Instant until_{};
+  bool isRevoked_ = false;
+};
+
+} // namespace Authority
--- a/Libraries/LibCore/Clock.cpp
+++ b/Libraries/LibCore/Clock.cpp
@@ -1,12 +1,18 @@
 #include <LibCore/Clock.h>
 
+#include <ctime>
+
 namespace Core {
 
 Instant
 MonotonicClock::Now() const
 {
-  return std::chrono::time_point_cast<Duration>(
-    std::chrono::steady_clock::now());
+  // Unlike CLOCK_MONOTONIC, this clock also counts the time for which the VM
+  // was suspended, so that a lease ends while its holder sleeps.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(std::chrono::duration_cast<Duration>(
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 long long
--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -2,11 +2,18 @@
 
 #include <LibCore/Clock.h>
 
+#include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <iostream>
 #include <string>
 #include <utility>
@@ -22,8 +29,59 @@
   return name;
 }
 
+/** Lines a second in the long run, and how many may come at once. */
+constexpr double kLinesPerSecond = 60;
+constexpr double kBurstLines = 400;
+
+/** Writes whole lines to a non-blocking descriptor, within a rate. */
+class BoundedBackend final
+  : public boost::log::sinks::basic_formatted_sink_backend<char>
+{
+public:
+  void consume(const boost::log::record_view&, const std::string& aLine)
+  {
+    const Instant now = MonotonicClock().Now();
+    const double seconds =
+      std::chrono::duration<double>(now - refilledAt_).count();
+    refilledAt_ = now;
+    budget_ = std::min(kBurstLines, budget_ + seconds * kLinesPerSecond);
+    if (budget_ < 1) {
+      ++dropped_;
+      return;
+    }
+    budget_ -= 1;
+    std::string text = aLine + '\n';
+    if (dropped_ > 0)
+      text += "{\"what\":\"log_lines_dropped\",\"count\":" +
+              std::to_string(dropped_) + "}\n";
+    // A pipe takes a short line whole or not at all.
+    if (write(STDOUT_FILENO, text.data(), text.size()) < 0)
+      ++dropped_;
+    else
+      dropped_ = 0;
+  }
+
+private:
+  Instant refilledAt_{};
+  double budget_ = kBurstLines;
+  std::uint64_t dropped_ = 0;
+};
+
 } // namespace
 
+void
+StartBoundedLog(std::string_view aProcess)
+{
+  ProcessName() = aProcess;
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  using Sink = boost::log::sinks::synchronous_sink<BoundedBackend>;
+  auto sink = boost::make_shared<Sink>(boost::make_shared<BoundedBackend>());
+  sink->set_formatter(boost::log::expressions::stream
+                      << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(sink);
+}
+
 void
 StartLog(std::string_view aProcess)
 {
--- a/Libraries/LibCore/include/LibCore/Clock.h
+++ b/Libraries/LibCore/include/LibCore/Clock.h
@@ -18,7 +18,7 @@
   virtual Instant Now() const = 0;
 };
 
-/** The machine's monotonic clock. */
+/** The machine's monotonic clock; it also runs while the VM is suspended. */
 class MonotonicClock final : public Clock
 {
 public:
--- /dev/null
+++ b/Libraries/LibPooler/ClientSession.cpp
@@ -0,0 +1,295 @@
+#include <LibPooler/ClientSession.h>
+
+#include <utility>
+
+namespace Pooler {
+
+namespace {
+
+using Sql::StatementKind;
+
+/** A client that sends this many statements ahead of the answers is cut off. */
+constexpr std::size_t kMaxQueued = 64;
+
+bool
+EndsTransaction(StatementKind aKind)
+{
+  return aKind == StatementKind::Commit || aKind == StatementKind::Rollback;
+}
+
+} // namespace
+
+ClientSession::ClientSession(Core::Scheduler& aScheduler,
+                             SessionHost& aHost,
+                             ClientPort& aPort,
+                             std::string aDatabase)
+  : scheduler_(aScheduler)
+  , host_(aHost)
+  , port_(aPort)
+  , database_(std::move(aDatabase))
+{
+}
+
+ClientSession::~ClientSession()
+{
+  // The run refers to the transaction, so it goes first.
+  run_.reset();
+  ReleaseTransaction();
+}
+
+Sql::TransactionState
+ClientSession::State() const
+{
+  if (hasFailed_)
+    return Sql::TransactionState::Failed;
+  return transaction_ ? Sql::TransactionState::Open
+                      : Sql::TransactionState::Idle;
+}
+
+bool
+ClientSession::IsIdle() const
+{
+  return !isRunning_ && queue_.empty() && !transaction_ && !hasFailed_;
+}
+
+void
+ClientSession::OnStatement(Sql::Statement aStatement)
+{
+  if (queue_.size() >= kMaxQueued) {
+    port_.CloseSession();
+    return;
+  }
+  queue_.push_back(std::move(aStatement));
+  if (!isRunning_)
+    RunNext();
+}
+
+void
+ClientSession::RunNext()
+{
+  isRunning_ = true;
+  startedAt_ = scheduler_.Now();
+  idleTimer_.reset();
+  Handle();
+}
+
+void
+ClientSession::Handle()
+{
+  if (hasFailed_) {
+    HandleInFailedTransaction();
+    return;
+  }
+  const Sql::Statement& statement = queue_.front();
+  switch (statement.kind) {
+    case StatementKind::Invalid:
+      ReplyError({ Sql::ErrorCode::Malformed, "the statement can't be read" });
+      return;
+    case StatementKind::Set:
+      values_[statement.name] = statement.argument;
+      ReplySuccess({}, "-");
+      return;
+    case StatementKind::Prepare:
+      HandlePrepare();
+      return;
+    case StatementKind::Deallocate:
+      prepared_.erase(statement.name);
+      ReplySuccess({}, "-");
+      return;
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+      HandleBegin();
+      return;
+    case StatementKind::Rollback:
+      HandleRollback();
+      return;
+    case StatementKind::Commit:
+      if (!transaction_) {
+        ReplyError({ Sql::ErrorCode::Malformed, "no transaction is open" });
+        return;
+      }
+      RunAtDatabase();
+      return;
+    case StatementKind::Execute:
+      if (!prepared_.contains(statement.name)) {
+        hasFailed_ = transaction_.has_value();
+        ReplyError({ Sql::ErrorCode::NoStatement, statement.name });
+        return;
+      }
+      RunAtDatabase();
+      return;
+    case StatementKind::Read:
+    case StatementKind::Write:
+      RunAtDatabase();
+      return;
+  }
+}
+
+void
+ClientSession::HandleInFailedTransaction()
+{
+  const StatementKind kind = queue_.front().kind;
+  const bool wasEnded = std::exchange(wasEndedByTimeout_, false);
+  if (!EndsTransaction(kind)) {
+    if (wasEnded)
+      ReplyError({ Sql::ErrorCode::RolledBack, "the transaction rested" });
+    else
+      ReplyError({ Sql::ErrorCode::Malformed, "the transaction has failed" });
+    return;
+  }
+  hasFailed_ = false;
+  ReleaseTransaction();
+  if (kind == StatementKind::Rollback)
+    ReplySuccess({}, "-");
+  else
+    ReplyError({ Sql::ErrorCode::RolledBack, "the transaction has failed" });
+}
+
+void
+ClientSession::HandlePrepare()
+{
+  const Sql::Statement& statement = queue_.front();
+  prepared_[statement.name] = { statement.argument, statement.preparesWrite };
+  ReplySuccess({}, "-");
+}
+
+void
+ClientSession::HandleBegin()
+{
+  if (transaction_) {
+    ReplyError({ Sql::ErrorCode::Malformed, "a transaction is open already" });
+    return;
+  }
+  const Route* route = host_.FindRoute(database_);
+  if (route == nullptr) {
+    ReplyError({ Sql::ErrorCode::NoDatabase, database_ });
+    return;
+  }
+  route_ = *route;
+  transaction_.emplace();
+  transaction_->isReadOnly =
+    queue_.front().kind == StatementKind::BeginReadOnly;
+  ReplySuccess({}, "-");
+}
+
+void
+ClientSession::HandleRollback()
+{
+  ReleaseTransaction();
+  ReplySuccess({}, "-");
+}
+
+void
+ClientSession::ReleaseTransaction()
+{
+  if (!transaction_)
+    return;
+  if (transaction_->connection != nullptr)
+    transaction_->pool->RollBackAndRelease(transaction_->connection);
+  transaction_.reset();
+}
+
+void
+ClientSession::RunAtDatabase()
+{
+  if (!transaction_) {
+    const Route* route = host_.FindRoute(database_);
+    if (route == nullptr) {
+      ReplyError({ Sql::ErrorCode::NoDatabase, database_ });
+      return;
+    }
+    route_ = *route;
+  }
+  GroupRouter* router = host_.FindRouter(route_.group);
+  if (router == nullptr) {
+    hasFailed_ = transaction_.has_value();
+    ReplyError({ Sql::ErrorCode::Busy, "the group isn't known" });
+    return;
+  }
+  run_ = std::make_unique<StatementRun>(
+    scheduler_,
+    *router,
+    StatementContext{ route_,
+                      values_,
+                      prepared_,
+                      floor_,
+                      transaction_ ? &*transaction_ : nullptr },
+    queue_.front(),
+    [this](StatementResult aResult) { OnResult(std::move(aResult)); });
+  run_->Start();
+}
+
+void
+ClientSession::OnResult(StatementResult aResult)
+{
+  // The run is still on the call stack, so it goes with a later task.
+  std::shared_ptr<StatementRun> finished(std::move(run_));
+  scheduler_.Defer([finished] {});
+  const Sql::Statement& statement = queue_.front();
+  host_.Report({ statement,
+                 &route_,
+                 aResult,
+                 transaction_.has_value(),
+                 scheduler_.Now() - startedAt_ });
+  if (aResult.written && (!floor_ || *floor_ < *aResult.written))
+    floor_ = aResult.written;
+  if (transaction_ && statement.kind == StatementKind::Commit) {
+    // A failed commit has ended the transaction as well.
+    transaction_.reset();
+  } else if (transaction_ && aResult.error) {
+    hasFailed_ = true;
+    ReleaseTransaction();
+  }
+  if (aResult.error)
+    ReplyError(std::move(*aResult.error));
+  else
+    ReplySuccess(aResult.rows, aResult.signature);
+}
+
+void
+ClientSession::ReplySuccess(const std::vector<std::string>& aRows,
+                            std::string_view aSignature)
+{
+  port_.SendSuccess(aRows, aSignature, State());
+  NextStatement();
+}
+
+void
+ClientSession::ReplyError(Sql::Error aError)
+{
+  port_.SendError(aError, State());
+  NextStatement();
+}
+
+void
+ClientSession::NextStatement()
+{
+  queue_.pop_front();
+  isRunning_ = false;
+  if (!queue_.empty()) {
+    RunNext();
+    return;
+  }
+  StartIdleTimer();
+}
+
+void
+ClientSession::StartIdleTimer()
+{
+  const Core::Duration limit = host_.TransactionIdleTimeout();
+  if (!transaction_ || limit == Core::Duration::zero())
+    return;
+  idleTimer_ = scheduler_.After(limit, [this] { EndRestingTransaction(); });
+}
+
+void
+ClientSession::EndRestingTransaction()
+{
+  if (!transaction_ || isRunning_)
+    return;
+  ReleaseTransaction();
+  hasFailed_ = true;
+  wasEndedByTimeout_ = true;
+}
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -0,0 +1,289 @@
+#include <LibPooler/ConnectionPool.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pooler {
+
+namespace {
+
+/** A connection that rested this long is closed, unless it is the last. */
+constexpr Core::Duration kIdleLimit = std::chrono::seconds(20);
+constexpr Core::Duration kSweepInterval = std::chrono::seconds(5);
+
+/** The first wait after a dial that failed, and the longest one. */
+constexpr Core::Duration kRedialDelay = std::chrono::milliseconds(50);
+constexpr Core::Duration kMaxRedialDelay = std::chrono::milliseconds(800);
+
+/** Those who wait are told after this many failed dials in a row. */
+constexpr int kDialsBeforeRefusal = 2;
+
+/** The share that the newest latency has in the average. */
+constexpr double kLatencyWeight = 0.1;
+
+/** What is assumed of a database that hasn't answered anything yet. */
+constexpr double kFirstLatencyMicroseconds = 15'000;
+
+/** A rollback takes a round trip; a connection that takes longer is closed. */
+constexpr Core::Duration kRollbackTimeout = std::chrono::milliseconds(300);
+
+/** How long a database that failed is avoided. */
+constexpr Core::Duration kSuspicion = std::chrono::milliseconds(1500);
+
+} // namespace
+
+ConnectionPool::ConnectionPool(Core::Scheduler& aScheduler,
+                               Sql::DatabaseDialer& aDialer,
+                               Database aDatabase)
+  : scheduler_(aScheduler)
+  , dialer_(aDialer)
+  , database_(std::move(aDatabase))
+  , sweep_(aScheduler.Every(kSweepInterval, [this] { CloseRested(); }))
+  , averageMicroseconds_(kFirstLatencyMicroseconds)
+{
+}
+
+ConnectionPool::~ConnectionPool()
+{
+  *alive_ = false;
+}
+
+void
+ConnectionPool::SetLimit(int aLimit)
+{
+  limit_ = std::max(aLimit, 1);
+}
+
+PooledConnectionHandle
+ConnectionPool::TakeIdle(const Values& aValues)
+{
+  if (idle_.empty())
+    return nullptr;
+  auto best = std::find_if(
+    idle_.begin(), idle_.end(), [&aValues](const auto& aConnection) {
+      return aConnection->state.Fits(aValues, nullptr);
+    });
+  if (best == idle_.end())
+    best = idle_.begin();
+  PooledConnectionHandle connection = *best;
+  idle_.erase(best);
+  return connection;
+}
+
+std::uint64_t
+ConnectionPool::Acquire(Core::Instant aDue,
+                        const Values& aValues,
+                        Receiver aReceiver)
+{
+  if (isRetired_) {
+    aReceiver(nullptr, PoolRefusal::Unreachable);
+    return 0;
+  }
+  if (waiters_.empty()) {
+    if (auto connection = TakeIdle(aValues)) {
+      ++inUse_;
+      aReceiver(connection, PoolRefusal::None);
+      return 0;
+    }
+  }
+  const std::uint64_t ticket = ++lastTicket_;
+  waiters_.emplace(Rank{ aDue, ticket },
+                   Waiter{ ticket, aValues, std::move(aReceiver) });
+  DialIfNeeded();
+  return ticket;
+}
+
+void
+ConnectionPool::Cancel(std::uint64_t aTicket)
+{
+  std::erase_if(waiters_, [aTicket](const auto& aEntry) {
+    return aEntry.second.ticket == aTicket;
+  });
+}
+
+void
+ConnectionPool::Serve()
+{
+  while (!waiters_.empty() && !idle_.empty()) {
+    auto node = waiters_.extract(waiters_.begin());
+    PooledConnectionHandle connection = TakeIdle(node.mapped().values);
+    ++inUse_;
+    const std::shared_ptr<bool> alive = alive_;
+    node.mapped().receiver(connection, PoolRefusal::None);
+    if (!*alive)
+      return;
+  }
+  DialIfNeeded();
+}
+
+void
+ConnectionPool::DialIfNeeded()
+{
+  if (isRetired_)
+    return;
+  const Core::Instant now = scheduler_.Now();
+  if (now < noDialBefore_) {
+    if (!waiters_.empty() && redial_ == nullptr)
+      redial_ = scheduler_.After(noDialBefore_ - now, [this] {
+        redial_.reset();
+        DialIfNeeded();
+      });
+    return;
+  }
+  while (dialling_ < Waiting() && Open() + dialling_ < limit_) {
+    ++dialling_;
+    ++dials_;
+    auto connection = std::make_shared<PooledConnection>();
+    dialer_.Dial(
+      { database_.id, database_.group, database_.host, database_.port },
+      [this, alive = alive_, connection](Sql::DialOutcome aOutcome) {
+        if (*alive)
+          OnDialled(std::move(aOutcome), connection);
+      },
+      [this, alive = alive_, weak = std::weak_ptr(connection)] {
+        const auto lost = weak.lock();
+        if (!lost || !*alive)
+          return;
+        lost->isLost = true;
+        idle_.remove(lost);
+        RecordFailure();
+      });
+  }
+}
+
+void
+ConnectionPool::OnDialled(Sql::DialOutcome aOutcome,
+                          const PooledConnectionHandle& aConnection)
+{
+  --dialling_;
+  if (aOutcome.link != nullptr) {
+    failedDials_ = 0;
+    if (aOutcome.position)
+      RecordPosition(*aOutcome.position);
+    aConnection->link = std::move(aOutcome.link);
+    aConnection->idleSince = scheduler_.Now();
+    idle_.push_front(aConnection);
+    Serve();
+    return;
+  }
+  ++failedDials_;
+  // A full database is no sign of trouble; it needs patience all the same.
+  const bool isFull = aOutcome.refusal && aOutcome.refusal->code ==
+                                            Sql::ErrorCode::ConnectionLimit;
+  if (!isFull)
+    RecordFailure();
+  const Core::Duration delay =
+    std::min<Core::Duration>(
+      kRedialDelay * (1 << std::min(failedDials_ - 1, 5)), kMaxRedialDelay);
+  noDialBefore_ = scheduler_.Now() + delay;
+  if (Open() == 0 && (!isFull || failedDials_ >= kDialsBeforeRefusal))
+    FailWaiters();
+  else
+    DialIfNeeded();
+}
+
+void
+ConnectionPool::FailWaiters()
+{
+  const std::shared_ptr<bool> alive = alive_;
+  auto waiters = std::exchange(waiters_, {});
+  for (auto& [rank, waiter] : waiters) {
+    waiter.receiver(nullptr, PoolRefusal::Unreachable);
+    if (!*alive)
+      return;
+  }
+}
+
+void
+ConnectionPool::Release(const PooledConnectionHandle& aConnection,
+                        bool aIsClean)
+{
+  --inUse_;
+  if (aIsClean && !aConnection->isLost && !isRetired_) {
+    aConnection->idleSince = scheduler_.Now();
+    idle_.push_front(aConnection);
+  } else {
+    aConnection->link.reset();
+  }
+  Serve();
+}
+
+void
+ConnectionPool::RollBackAndRelease(const PooledConnectionHandle& aConnection)
+{
+  const auto finish = [this,
+                       alive = alive_,
+                       aConnection,
+                       isDone = std::make_shared<bool>(false)](bool aIsClean) {
+    if (std::exchange(*isDone, true) || !*alive)
+      return;
+    Release(aConnection, aIsClean);
+  };
+  aConnection->link->Send({ .kind = Sql::CommandKind::Rollback },
+                          [finish](const Sql::DatabaseReply& aReply) {
+                            finish(aReply.IsSuccess() &&
+                                   aReply.state ==
+                                     Sql::TransactionState::Idle);
+                          });
+  scheduler_.DeferFor(kRollbackTimeout, [finish] { finish(false); });
+}
+
+void
+ConnectionPool::Retire()
+{
+  isRetired_ = true;
+  idle_.clear();
+  FailWaiters();
+}
+
+void
+ConnectionPool::CloseRested()
+{
+  const Core::Instant limit = scheduler_.Now() - kIdleLimit;
+  while (idle_.size() > 1 && idle_.back()->idleSince < limit)
+    idle_.pop_back();
+}
+
+void
+ConnectionPool::RecordLatency(Core::Duration aLatency)
+{
+  averageMicroseconds_ +=
+    kLatencyWeight *
+    (static_cast<double>(aLatency.count()) - averageMicroseconds_);
+}
+
+void
+ConnectionPool::RecordPosition(const Session::LogPosition& aPosition)
+{
+  position_ = aPosition;
+  positionAt_ = scheduler_.Now();
+}
+
+void
+ConnectionPool::RecordFailure()
+{
+  ++failures_;
+  failedAt_ = scheduler_.Now();
+}
+
+void
+ConnectionPool::RecordSuccess()
+{
+  failures_ = 0;
+}
+
+Core::Duration
+ConnectionPool::ExpectedLatency() const
+{
+  const int ahead = inUse_ + Waiting();
+  const double rounds = 1.0 + static_cast<double>(ahead) / limit_;
+  return Core::Duration(static_cast<long long>(averageMicroseconds_ * rounds));
+}
+
+bool
+ConnectionPool::IsSuspect() const
+{
+  return failures_ > 0 && scheduler_.Now() - failedAt_ < kSuspicion;
+}
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/DatabaseDirectory.cpp
@@ -0,0 +1,67 @@
+#include <LibPooler/DatabaseDirectory.h>
+
+namespace Pooler {
+
+namespace {
+
+/** Entries of live databases are restored within about two seconds. */
+constexpr Core::Duration kPatience = std::chrono::milliseconds(2500);
+
+} // namespace
+
+void
+DatabaseDirectory::Set(const std::string& aId,
+                       std::optional<Database> aDatabase,
+                       Core::Instant aNow)
+{
+  if (aDatabase) {
+    entries_[aId] = { *aDatabase, std::nullopt, true };
+    return;
+  }
+  const auto entry = entries_.find(aId);
+  if (entry == entries_.end())
+    return;
+  if (entry->second.database.isLeaving)
+    entries_.erase(entry);
+  else if (!entry->second.missingSince)
+    entry->second.missingSince = aNow;
+}
+
+void
+DatabaseDirectory::BeginReload()
+{
+  for (auto& [id, entry] : entries_)
+    entry.wasReloaded = false;
+}
+
+void
+DatabaseDirectory::EndReload(Core::Instant aNow)
+{
+  std::erase_if(entries_, [](const auto& aItem) {
+    return !aItem.second.wasReloaded && aItem.second.database.isLeaving;
+  });
+  for (auto& [id, entry] : entries_) {
+    if (!entry.wasReloaded && !entry.missingSince)
+      entry.missingSince = aNow;
+  }
+}
+
+bool
+DatabaseDirectory::Expire(Core::Instant aNow)
+{
+  return std::erase_if(entries_, [aNow](const auto& aItem) {
+           const auto& since = aItem.second.missingSince;
+           return since && aNow - *since > kPatience;
+         }) > 0;
+}
+
+DatabaseList
+DatabaseDirectory::List() const
+{
+  DatabaseList list;
+  for (const auto& [id, entry] : entries_)
+    list.emplace(id, entry.database);
+  return list;
+}
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -0,0 +1,209 @@
+#include <LibPooler/GroupRouter.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pooler {
+
+namespace {
+
+/**
+ * A replica that was behind this recently is taken to be behind still; replicas
+ * apply within some tens of milliseconds.
+ */
+constexpr Core::Duration kLagMemory = std::chrono::milliseconds(120);
+
+/** A database in another data centre costs this much more than one nearby. */
+constexpr Core::Duration kRemoteCost = std::chrono::milliseconds(2);
+
+/** Reads leave the primary to writes unless replicas are this much slower. */
+constexpr Core::Duration kPrimaryCost = std::chrono::milliseconds(40);
+
+/** A database that gave no answer lately is taken only without another. */
+constexpr Core::Duration kSuspectCost = std::chrono::seconds(5);
+
+} // namespace
+
+GroupRouter::GroupRouter(Core::Scheduler& aScheduler,
+                         Sql::DatabaseDialer& aDialer,
+                         std::string aName,
+                         std::string aDataCentre,
+                         Core::Duration aAuthorityLease)
+  : scheduler_(aScheduler)
+  , dialer_(aDialer)
+  , name_(std::move(aName))
+  , dataCentre_(std::move(aDataCentre))
+  , authority_(aAuthorityLease)
+{
+}
+
+void
+GroupRouter::SetDatabases(const std::vector<Database>& aDatabases)
+{
+  std::map<std::string, std::shared_ptr<ConnectionPool>> kept;
+  for (const Database& database : aDatabases) {
+    const auto known = pools_.find(database.id);
+    const bool isSame =
+      known != pools_.end() && known->second->Info().host == database.host &&
+      known->second->Info().port == database.port &&
+      known->second->Info().startedAt == database.startedAt;
+    if (isSame) {
+      known->second->Update(database);
+      kept.insert(*known);
+      continue;
+    }
+    auto pool =
+      std::make_shared<ConnectionPool>(scheduler_, dialer_, database);
+    pool->SetLimit(connectionLimit_);
+    kept.emplace(database.id, std::move(pool));
+  }
+  const auto old = std::exchange(pools_, std::move(kept));
+  for (const auto& [id, pool] : old) {
+    const auto now = pools_.find(id);
+    if (now == pools_.end() || now->second != pool)
+      pool->Retire();
+  }
+  Wake();
+}
+
+void
+GroupRouter::SetConnectionLimit(int aLimit)
+{
+  connectionLimit_ = aLimit;
+  for (const auto& [id, pool] : pools_)
+    pool->SetLimit(aLimit);
+}
+
+void
+GroupRouter::ObserveRecord(const Authority::GroupRecord& aRecord,
+                           Core::Instant aAskedAt)
+{
+  if (authority_.Observe(aRecord, aAskedAt))
+    samples_.Clamp(aRecord.starts);
+  Wake();
+}
+
+void
+GroupRouter::RenewAuthority(Core::Instant aAskedAt)
+{
+  const bool held = authority_.Holds(scheduler_.Now());
+  authority_.Renew(aAskedAt);
+  if (!held)
+    Wake();
+}
+
+std::optional<Session::LogPosition>
+GroupRouter::FloorOf(const RoutingNeed& aNeed) const
+{
+  auto floor = samples_.FloorFor(scheduler_.Now(), aNeed.maxStaleness);
+  if (!floor || !aNeed.sessionFloor)
+    return floor;
+  const auto own = authority_.Record()
+                     ? Authority::ClampToTerms(*aNeed.sessionFloor,
+                                               authority_.Record()->starts)
+                     : *aNeed.sessionFloor;
+  return std::max(*floor, own);
+}
+
+bool
+GroupRouter::IsUsefulReplica(const ConnectionPool& aPool,
+                             const RoutingNeed& aNeed,
+                             const Session::LogPosition& aFloor) const
+{
+  if (aPool.Info().isLeaving || aNeed.excluded.contains(aPool.Info().id))
+    return false;
+  const bool isKnownBehind =
+    aPool.Position() && *aPool.Position() < aFloor &&
+    scheduler_.Now() - aPool.PositionAt() < kLagMemory;
+  return !isKnownBehind;
+}
+
+Core::Duration
+GroupRouter::CostOf(const ConnectionPool& aPool, bool aIsPrimary) const
+{
+  Core::Duration cost = aPool.ExpectedLatency();
+  if (aPool.Info().dataCentre != dataCentre_)
+    cost += kRemoteCost;
+  if (aIsPrimary)
+    cost += kPrimaryCost;
+  if (aPool.IsSuspect())
+    cost += kSuspectCost;
+  return cost;
+}
+
+std::optional<RoutingChoice>
+GroupRouter::ChoosePrimary(const RoutingNeed& aNeed) const
+{
+  if (!authority_.Holds(scheduler_.Now()))
+    return std::nullopt;
+  const Authority::GroupRecord& record = *authority_.Record();
+  const auto pool = pools_.find(record.primary);
+  if (pool == pools_.end() || aNeed.excluded.contains(record.primary))
+    return std::nullopt;
+  return RoutingChoice{ pool->second, true, record.term, std::nullopt };
+}
+
+std::optional<RoutingChoice>
+GroupRouter::Choose(const RoutingNeed& aNeed) const
+{
+  std::optional<RoutingChoice> best = ChoosePrimary(aNeed);
+  if (aNeed.needsPrimary)
+    return best;
+  const auto floor = FloorOf(aNeed);
+  if (!floor)
+    return best;
+  Core::Duration bestCost =
+    best ? CostOf(*best->pool, true) : Core::Duration::max();
+  const std::string primary =
+    authority_.Record() ? authority_.Record()->primary : "";
+  for (const auto& [id, pool] : pools_) {
+    // With authority the primary has been weighed above; without, it is a log
+    // like any other, which the floor checks.
+    if (best && best->isPrimary && id == primary && best->pool == pool)
+      continue;
+    if (!IsUsefulReplica(*pool, aNeed, *floor))
+      continue;
+    const Core::Duration cost = CostOf(*pool, id == primary);
+    if (cost >= bestCost)
+      continue;
+    bestCost = cost;
+    best = RoutingChoice{ pool, false, 0, floor };
+  }
+  return best;
+}
+
+void
+GroupRouter::AddSample(Core::Instant aSentAt,
+                       const Session::LogPosition& aPosition)
+{
+  samples_.Add(aSentAt, aPosition);
+}
+
+std::uint64_t
+GroupRouter::WaitForChange(std::function<void()> aTask)
+{
+  waiting_.emplace(++lastTicket_, std::move(aTask));
+  return lastTicket_;
+}
+
+void
+GroupRouter::CancelWait(std::uint64_t aTicket)
+{
+  waiting_.erase(aTicket);
+}
+
+void
+GroupRouter::Wake()
+{
+  std::vector<std::uint64_t> tickets;
+  for (const auto& [ticket, task] : waiting_)
+    tickets.push_back(ticket);
+  for (const std::uint64_t ticket : tickets) {
+    // One task may have cancelled another.
+    auto node = waiting_.extract(ticket);
+    if (node)
+      node.mapped()();
+  }
+}
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/SessionValues.cpp
@@ -0,0 +1,78 @@
+#include <LibPooler/SessionValues.h>
+
+#include <algorithm>
+
+namespace Pooler {
+
+namespace {
+
+/** A connection forgets its prepared statements when they exceed this. */
+constexpr std::size_t kMaxPrepared = 256;
+
+} // namespace
+
+bool
+ConnectionState::HasSurplus(const Values& aValues) const
+{
+  return std::any_of(values_.begin(), values_.end(), [&](const auto& aEntry) {
+    return !aValues.contains(aEntry.first);
+  });
+}
+
+bool
+ConnectionState::Fits(const Values& aValues, const std::string* aShape) const
+{
+  return values_ == aValues &&
+         (aShape == nullptr || prepared_.contains(*aShape));
+}
+
+std::vector<Sql::DatabaseCommand>
+ConnectionState::Prepare(const Values& aValues, const std::string* aShape)
+{
+  std::vector<Sql::DatabaseCommand> commands;
+  if (HasSurplus(aValues) || prepared_.size() > kMaxPrepared) {
+    commands.push_back({ .kind = Sql::CommandKind::DiscardAll });
+    values_.clear();
+    prepared_.clear();
+  }
+  for (const auto& [name, value] : aValues) {
+    const auto held = values_.find(name);
+    if (held != values_.end() && held->second == value)
+      continue;
+    commands.push_back({ .kind = Sql::CommandKind::Set,
+                         .requestId = {},
+                         .text = {},
+                         .name = name,
+                         .argument = value });
+    values_[name] = value;
+  }
+  if (aShape != nullptr && !prepared_.contains(*aShape)) {
+    std::string name("m");
+    name += std::to_string(++lastName_);
+    commands.push_back({ .kind = Sql::CommandKind::Prepare,
+                         .requestId = {},
+                         .text = {},
+                         .name = name,
+                         .argument = *aShape });
+    prepared_[*aShape] = name;
+  }
+  return commands;
+}
+
+std::vector<Sql::DatabaseCommand>
+ConnectionState::PrepareAnew(const Values& aValues, const std::string* aShape)
+{
+  values_.clear();
+  prepared_.clear();
+  std::vector<Sql::DatabaseCommand> commands = Prepare(aValues, aShape);
+  commands.insert(commands.begin(), { .kind = Sql::CommandKind::DiscardAll });
+  return commands;
+}
+
+const std::string&
+ConnectionState::NameOf(const std::string& aShape) const
+{
+  return prepared_.at(aShape);
+}
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -0,0 +1,533 @@
+#include <LibPooler/StatementRun.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pooler {
+
+namespace {
+
+/** A statement is tried at this many places, unless its time ends before. */
+constexpr int kMaxAttempts = 6;
+
+/** How long a full database is left alone. */
+constexpr Core::Duration kBusyDelay = std::chrono::milliseconds(15);
+
+/** How long a statement waits after its primary said that it is none. */
+constexpr Core::Duration kReadOnlyDelay = std::chrono::milliseconds(30);
+
+/** A connection that rested longer proves itself before it carries a write. */
+constexpr Core::Duration kProofAfter = std::chrono::milliseconds(1000);
+
+/** Preparing takes a round trip; a connection that takes longer is silent. */
+constexpr Core::Duration kPreparationTimeout = std::chrono::milliseconds(300);
+
+/**
+ * The share of the statement's time that may go by before it reaches a
+ * database; what is left is needed to run it.
+ */
+constexpr double kWaitShare = 0.75;
+
+} // namespace
+
+/** Wraps a callback so that it does nothing once the run is gone. */
+template<typename Function>
+auto
+StatementRun::Guard(Function aFunction)
+{
+  return [alive = alive_, function = std::move(aFunction)](auto&&... aArgs) {
+    if (*alive)
+      function(std::forward<decltype(aArgs)>(aArgs)...);
+  };
+}
+
+StatementRun::StatementRun(Core::Scheduler& aScheduler,
+                           GroupRouter& aRouter,
+                           StatementContext aContext,
+                           Sql::Statement aStatement,
+                           Handler aDone)
+  : scheduler_(aScheduler)
+  , router_(aRouter)
+  , context_(aContext)
+  , statement_(std::move(aStatement))
+  , done_(std::move(aDone))
+  , startedAt_(aScheduler.Now())
+{
+}
+
+StatementRun::~StatementRun()
+{
+  *alive_ = false;
+  if (done_ == nullptr)
+    return;
+  router_.CancelWait(changeTicket_);
+  if (choice_.pool != nullptr)
+    choice_.pool->Cancel(poolTicket_);
+  // Whoever drops the run before its end doesn't want the answer; the
+  // connection can't be used by anybody else.
+  DropConnection();
+}
+
+bool
+StatementRun::IsInTransaction() const
+{
+  return context_.transaction != nullptr;
+}
+
+bool
+StatementRun::IsFirstInTransaction() const
+{
+  return IsInTransaction() && context_.transaction->connection == nullptr;
+}
+
+bool
+StatementRun::IsCommit() const
+{
+  return statement_.kind == Sql::StatementKind::Commit;
+}
+
+bool
+StatementRun::IsWrite() const
+{
+  if (statement_.kind != Sql::StatementKind::Execute)
+    return statement_.kind == Sql::StatementKind::Write;
+  const auto prepared = context_.prepared.find(statement_.name);
+  return prepared != context_.prepared.end() && prepared->second.isWrite;
+}
+
+bool
+StatementRun::MayHaveWritten() const
+{
+  if (IsInTransaction())
+    return IsCommit() && context_.transaction->hasWritten;
+  return IsWrite();
+}
+
+const std::string*
+StatementRun::Shape() const
+{
+  if (statement_.kind != Sql::StatementKind::Execute)
+    return nullptr;
+  return &context_.prepared.at(statement_.name).shape;
+}
+
+RoutingNeed
+StatementRun::Need() const
+{
+  RoutingNeed need;
+  const bool onlyReads =
+    IsInTransaction() ? context_.transaction->isReadOnly : !IsWrite();
+  need.needsPrimary =
+    !onlyReads || context_.route.consistency == Consistency::Strong;
+  need.maxStaleness = context_.route.maxStaleness;
+  if (context_.route.consistency == Consistency::ReadYourWrites)
+    need.sessionFloor = context_.floor;
+  return need;
+}
+
+void
+StatementRun::Start()
+{
+  need_ = Need();
+  const Core::Duration limit = context_.route.statementTimeout;
+  timeout_ = scheduler_.After(limit, [this] { OnTimeout(); });
+  if (IsInTransaction() && !IsFirstInTransaction()) {
+    const OpenTransaction& transaction = *context_.transaction;
+    choice_.pool = transaction.pool;
+    choice_.isPrimary = transaction.isOnPrimary;
+    choice_.term = transaction.term;
+    OnConnection(transaction.connection);
+    return;
+  }
+  const auto share = Core::Duration(
+    static_cast<long long>(static_cast<double>(limit.count()) * kWaitShare));
+  waitLimit_ = scheduler_.After(share, [this] { OnWaitedTooLong(); });
+  Choose();
+}
+
+void
+StatementRun::Choose()
+{
+  const auto choice = router_.Choose(need_);
+  if (!choice && !need_.excluded.empty()) {
+    // All have turned it away; they are asked again a little later.
+    need_.excluded.clear();
+    retry_ = scheduler_.After(kBusyDelay, [this] { Choose(); });
+    return;
+  }
+  if (!choice) {
+    AwaitChange();
+    return;
+  }
+  choice_ = *choice;
+  Acquire();
+}
+
+void
+StatementRun::AwaitChange()
+{
+  phase_ = Phase::AwaitingChoice;
+  changeTicket_ = router_.WaitForChange(Guard([this] { Choose(); }));
+}
+
+void
+StatementRun::Acquire()
+{
+  phase_ = Phase::AwaitingConnection;
+  ++result_.attempts;
+  const auto alive = alive_;
+  const std::uint64_t ticket = choice_.pool->Acquire(
+    startedAt_ + context_.route.targetLatency,
+    context_.values,
+    Guard([this](PooledConnectionHandle aConnection, PoolRefusal) {
+      poolTicket_ = 0;
+      if (aConnection == nullptr) {
+        TryElsewhere(true, kBusyDelay);
+        return;
+      }
+      OnConnection(std::move(aConnection));
+    }));
+  if (*alive && phase_ == Phase::AwaitingConnection)
+    poolTicket_ = ticket;
+}
+
+void
+StatementRun::OnConnection(PooledConnectionHandle aConnection)
+{
+  connection_ = std::move(aConnection);
+  PrepareConnection();
+}
+
+void
+StatementRun::PrepareConnection()
+{
+  phase_ = Phase::Preparing;
+  const bool isPinned = IsInTransaction() && !IsFirstInTransaction();
+  const bool isRested =
+    !isPinned && need_.needsPrimary &&
+    scheduler_.Now() - connection_->idleSince > kProofAfter;
+  auto commands =
+    isRested ? connection_->state.PrepareAnew(context_.values, Shape())
+             : connection_->state.Prepare(context_.values, Shape());
+  if (IsFirstInTransaction()) {
+    const bool onlyReads = context_.transaction->isReadOnly;
+    commands.push_back({ .kind = onlyReads ? Sql::CommandKind::BeginReadOnly
+                                           : Sql::CommandKind::Begin });
+    commands.back().atLeast = choice_.floor;
+  }
+  pendingPreparations_ = static_cast<int>(commands.size());
+  hasPreparationFailed_ = false;
+  if (commands.empty()) {
+    SendStatement();
+    return;
+  }
+  retry_ = scheduler_.After(kPreparationTimeout, [this] {
+    choice_.pool->RecordFailure();
+    OnLost();
+  });
+  for (const Sql::DatabaseCommand& command : commands) {
+    const bool isBegin = command.kind == Sql::CommandKind::Begin ||
+                         command.kind == Sql::CommandKind::BeginReadOnly;
+    connection_->link->Send(
+      command, Guard([this, isBegin](const Sql::DatabaseReply& aReply) {
+        OnPrepared(aReply, isBegin);
+      }));
+  }
+}
+
+void
+StatementRun::OnPrepared(const Sql::DatabaseReply& aReply, bool aIsBegin)
+{
+  if (!aReply.isComplete) {
+    OnLost();
+    return;
+  }
+  --pendingPreparations_;
+  if (aReply.error && !aIsBegin) {
+    // The connection's state is unknown now.
+    choice_.pool->RecordFailure();
+    OnLost();
+    return;
+  }
+  if (aReply.error) {
+    retry_.reset();
+    OnError(aReply);
+    return;
+  }
+  if (pendingPreparations_ > 0)
+    return;
+  retry_.reset();
+  if (IsFirstInTransaction()) {
+    OpenTransaction& transaction = *context_.transaction;
+    transaction.connection = connection_;
+    transaction.pool = choice_.pool;
+    transaction.isOnPrimary = choice_.isPrimary;
+    transaction.term = choice_.term;
+  }
+  SendStatement();
+}
+
+bool
+StatementRun::MaySendNow() const
+{
+  if (!choice_.isPrimary)
+    return true;
+  return router_.Authority().HoldsFor(choice_.term, scheduler_.Now());
+}
+
+void
+StatementRun::SendStatement()
+{
+  if (!MaySendNow()) {
+    if (IsInTransaction())
+      Fail(Sql::ErrorCode::RolledBack, "the primary is being replaced");
+    else
+      TryElsewhere(false, Core::Duration::zero());
+    return;
+  }
+  phase_ = Phase::Sent;
+  waitLimit_.reset();
+  sentAt_ = scheduler_.Now();
+  result_.wasSent = true;
+  result_.database = choice_.pool->Info().id;
+  result_.ranAtReplica = !choice_.isPrimary;
+  Sql::DatabaseCommand command;
+  command.requestId = statement_.requestId;
+  command.kind = Sql::CommandKind::ClientStatement;
+  command.text = statement_.text;
+  if (const std::string* shape = Shape()) {
+    command.kind = Sql::CommandKind::ClientExecute;
+    command.name = connection_->state.NameOf(*shape);
+    command.argument = statement_.argument;
+  }
+  if (!IsInTransaction())
+    command.atLeast = choice_.floor;
+  else if (IsWrite())
+    context_.transaction->hasWritten = true;
+  connection_->link->Send(command, Guard([this](Sql::DatabaseReply aReply) {
+    OnReply(std::move(aReply));
+  }));
+}
+
+void
+StatementRun::RecordAnswer(const Sql::DatabaseReply& aReply)
+{
+  choice_.pool->RecordLatency(scheduler_.Now() - sentAt_);
+  choice_.pool->RecordSuccess();
+  if (!aReply.position)
+    return;
+  choice_.pool->RecordPosition(*aReply.position);
+  if (choice_.isPrimary && aReply.position->term <= choice_.term)
+    router_.AddSample(sentAt_, *aReply.position);
+}
+
+void
+StatementRun::OnReply(Sql::DatabaseReply aReply)
+{
+  if (!aReply.isComplete) {
+    choice_.pool->RecordFailure();
+    OnLost();
+    return;
+  }
+  if (aReply.error) {
+    OnError(aReply);
+    return;
+  }
+  RecordAnswer(aReply);
+  OnSuccess(std::move(aReply));
+}
+
+void
+StatementRun::OnSuccess(Sql::DatabaseReply aReply)
+{
+  const bool endsTransaction = IsInTransaction() && IsCommit();
+  if (MayHaveWritten() &&
+      !router_.Authority().HoldsFor(choice_.term, scheduler_.Now())) {
+    // Another primary may have been promoted without this write.
+    ReturnConnection(true);
+    Fail(Sql::ErrorCode::InDoubt, "the primary may have been replaced");
+    return;
+  }
+  if (MayHaveWritten())
+    result_.written = aReply.position;
+  result_.rows = std::move(aReply.rows);
+  result_.signature = std::move(aReply.signature);
+  const auto expected = IsInTransaction() && !endsTransaction
+                          ? Sql::TransactionState::Open
+                          : Sql::TransactionState::Idle;
+  if (!IsInTransaction() || endsTransaction)
+    ReturnConnection(aReply.state == expected);
+  Finish();
+}
+
+void
+StatementRun::OnError(const Sql::DatabaseReply& aReply)
+{
+  const Sql::ErrorCode code = aReply.error->code;
+  if (aReply.position && !choice_.isPrimary)
+    choice_.pool->RecordPosition(*aReply.position);
+  if (IsInTransaction() && !IsFirstInTransaction()) {
+    OnErrorInTransaction(aReply);
+    return;
+  }
+  const bool mayRepeat = Sql::SaysNotRun(code) || !IsWrite();
+  ReturnConnection(aReply.state == Sql::TransactionState::Idle &&
+                   code != Sql::ErrorCode::NoStatement);
+  if (!mayRepeat || result_.attempts >= kMaxAttempts) {
+    result_.error = aReply.error;
+    Finish();
+    return;
+  }
+  switch (code) {
+    case Sql::ErrorCode::Lagging:
+      TryElsewhere(true, Core::Duration::zero());
+      return;
+    case Sql::ErrorCode::ReadOnly:
+      TryElsewhere(false, kReadOnlyDelay);
+      return;
+    case Sql::ErrorCode::Timeout:
+    case Sql::ErrorCode::Malformed:
+      result_.error = aReply.error;
+      Finish();
+      return;
+    default:
+      TryElsewhere(!need_.needsPrimary, kBusyDelay);
+  }
+}
+
+void
+StatementRun::OnErrorInTransaction(const Sql::DatabaseReply& aReply)
+{
+  const Sql::Error error = *aReply.error;
+  const bool isOpen = aReply.state == Sql::TransactionState::Open;
+  if (error.code == Sql::ErrorCode::Busy && isOpen) {
+    // It didn't run and the transaction is whole, so it is sent again.
+    phase_ = Phase::Preparing;
+    retry_ = scheduler_.After(kBusyDelay, [this] { SendStatement(); });
+    return;
+  }
+  const bool mayBeCommitted = IsCommit() && context_.transaction->hasWritten &&
+                              !Sql::SaysNotRun(error.code);
+  RollBack();
+  Fail(mayBeCommitted ? Sql::ErrorCode::InDoubt : Sql::ErrorCode::RolledBack,
+       error.text);
+}
+
+void
+StatementRun::RollBack()
+{
+  const PooledConnectionHandle connection = std::exchange(connection_, nullptr);
+  context_.transaction->connection = nullptr;
+  choice_.pool->RollBackAndRelease(connection);
+}
+
+void
+StatementRun::OnLost()
+{
+  const bool wasSent = phase_ == Phase::Sent;
+  const bool isPinned = IsInTransaction() && !IsFirstInTransaction();
+  const bool mayHaveWritten = wasSent && MayHaveWritten();
+  retry_.reset();
+  DropConnection();
+  if (mayHaveWritten) {
+    Fail(Sql::ErrorCode::InDoubt, "the database's answer was lost");
+    return;
+  }
+  if (isPinned) {
+    Fail(Sql::ErrorCode::RolledBack, "the connection to the database was lost");
+    return;
+  }
+  if (result_.attempts >= kMaxAttempts) {
+    Fail(Sql::ErrorCode::Busy, "no database answered");
+    return;
+  }
+  TryElsewhere(!need_.needsPrimary, Core::Duration::zero());
+}
+
+void
+StatementRun::TryElsewhere(bool aExclude, Core::Duration aDelay)
+{
+  if (aExclude && choice_.pool != nullptr)
+    need_.excluded.insert(choice_.pool->Info().id);
+  if (connection_ != nullptr)
+    ReturnConnection(true);
+  phase_ = Phase::AwaitingChoice;
+  if (result_.attempts >= kMaxAttempts && !need_.needsPrimary)
+    need_.needsPrimary = true;
+  retry_ = scheduler_.After(aDelay, [this] { Choose(); });
+}
+
+void
+StatementRun::OnWaitedTooLong()
+{
+  Fail(Sql::ErrorCode::Busy,
+       phase_ == Phase::AwaitingChoice ? "no database may be used now"
+                                       : "the database has no free connection");
+}
+
+void
+StatementRun::OnTimeout()
+{
+  const bool wasSent = phase_ == Phase::Sent;
+  const bool mayHaveWritten = wasSent && MayHaveWritten();
+  if (wasSent)
+    choice_.pool->RecordFailure();
+  DropConnection();
+  if (mayHaveWritten) {
+    Fail(Sql::ErrorCode::InDoubt, "the database didn't answer in time");
+    return;
+  }
+  if (IsInTransaction()) {
+    Fail(Sql::ErrorCode::RolledBack, "the statement's time is over");
+    return;
+  }
+  Fail(wasSent ? Sql::ErrorCode::Timeout : Sql::ErrorCode::Busy,
+       "the statement's time is over");
+}
+
+void
+StatementRun::DropConnection()
+{
+  if (connection_ == nullptr)
+    return;
+  ReturnConnection(false);
+}
+
+void
+StatementRun::ReturnConnection(bool aIsClean)
+{
+  const PooledConnectionHandle connection = std::exchange(connection_, nullptr);
+  if (connection == nullptr)
+    return;
+  if (IsInTransaction())
+    context_.transaction->connection = nullptr;
+  choice_.pool->Release(connection, aIsClean);
+}
+
+void
+StatementRun::Fail(Sql::ErrorCode aCode, std::string aText)
+{
+  if (connection_ != nullptr)
+    DropConnection();
+  result_.error = Sql::Error{ aCode, std::move(aText) };
+  result_.keepsTransaction = false;
+  Finish();
+}
+
+void
+StatementRun::Finish()
+{
+  // A transaction keeps its connection; the run must not close it.
+  connection_.reset();
+  timeout_.reset();
+  waitLimit_.reset();
+  retry_.reset();
+  router_.CancelWait(std::exchange(changeTicket_, 0));
+  if (choice_.pool != nullptr)
+    choice_.pool->Cancel(std::exchange(poolTicket_, 0));
+  *alive_ = false;
+  const Handler done = std::exchange(done_, nullptr);
+  done(std::move(result_));
+}
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <LibCore/Scheduler.h>
+#include <LibPooler/Fleet.h>
+#include <LibPooler/SessionValues.h>
+#include <LibSql/DatabaseLink.h>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace Pooler {
+
+/** An open connection to a database, used by one statement run at a time. */
+struct PooledConnection
+{
+  std::shared_ptr<Sql::DatabaseLink> link;
+  ConnectionState state;
+  Core::Instant idleSince{};
+  bool isLost = false;
+};
+using PooledConnectionHandle = std::shared_ptr<PooledConnection>;
+
+/** Why a pool has no connection to give. */
+enum class PoolRefusal
+{
+  None,
+  /** The database is gone or can't be reached. */
+  Unreachable,
+};
+
+/**
+ * This node's connections to one database. At most a limit are open; those who
+ * wait are served in the order of their ranks.
+ */
+class ConnectionPool
+{
+public:
+  /** Null when refused. */
+  using Receiver = std::function<void(PooledConnectionHandle, PoolRefusal)>;
+  /** Lower is served first. */
+  using Rank = std::pair<Core::Instant, std::uint64_t>;
+
+  ConnectionPool(Core::Scheduler& aScheduler,
+                 Sql::DatabaseDialer& aDialer,
+                 Database aDatabase);
+  ~ConnectionPool();
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
+
+  void SetLimit(int aLimit);
+  void Update(const Database& aDatabase) { database_ = aDatabase; }
+  const Database& Info() const { return database_; }
+
+  /**
+   * Gives a connection to aReceiver, at once or later. aDue orders those who
+   * wait. The ticket cancels the wait; 0 when it is over already.
+   */
+  std::uint64_t Acquire(Core::Instant aDue,
+                        const Values& aValues,
+                        Receiver aReceiver);
+  void Cancel(std::uint64_t aTicket);
+
+  /** Takes a connection back; one that may be unclean is closed. */
+  void Release(const PooledConnectionHandle& aConnection, bool aIsClean);
+
+  /** Rolls back what is open on a connection and takes it back. */
+  void RollBackAndRelease(const PooledConnectionHandle& aConnection);
+
+  /** Fails those who wait; the pool opens no more connections. */
+  void Retire();
+
+  /** Notes how a statement went, for the choice among databases. */
+  void RecordLatency(Core::Duration aLatency);
+  void RecordPosition(const Session::LogPosition& aPosition);
+  /** Notes that the database gave no answer. */
+  void RecordFailure();
+  void RecordSuccess();
+
+  /** How long a statement that is queued now would probably take. */
+  Core::Duration ExpectedLatency() const;
+  /** True while new work should rather go elsewhere. */
+  bool IsSuspect() const;
+  const std::optional<Session::LogPosition>& Position() const
+  {
+    return position_;
+  }
+  Core::Instant PositionAt() const { return positionAt_; }
+
+  int Open() const { return static_cast<int>(idle_.size()) + inUse_; }
+  int InUse() const { return inUse_; }
+  int Waiting() const { return static_cast<int>(waiters_.size()); }
+  std::uint64_t Dials() const { return dials_; }
+
+private:
+  struct Waiter
+  {
+    std::uint64_t ticket;
+    Values values;
+    Receiver receiver;
+  };
+
+  PooledConnectionHandle TakeIdle(const Values& aValues);
+  void Serve();
+  void DialIfNeeded();
+  void OnDialled(Sql::DialOutcome aOutcome,
+                 const PooledConnectionHandle& aConnection);
+  void FailWaiters();
+  void CloseRested();
+
+  Core::Scheduler& scheduler_;
+  Sql::DatabaseDialer& dialer_;
+  Database database_;
+  int limit_ = 1;
+  int inUse_ = 0;
+  int dialling_ = 0;
+  bool isRetired_ = false;
+  std::list<PooledConnectionHandle> idle_;
+  std::map<Rank, Waiter> waiters_;
+  std::uint64_t lastTicket_ = 0;
+  std::uint64_t dials_ = 0;
+  int failedDials_ = 0;
+  Core::Instant noDialBefore_{};
+  Core::TimerHandle redial_;
+  Core::TimerHandle sweep_;
+  double averageMicroseconds_ = 0;
+  int failures_ = 0;
+  Core::Instant failedAt_{};
+  std::optional<Session::LogPosition> position_;
+  Core::Instant positionAt_{};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/include/LibPooler/GroupRouter.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <LibAuthority/PrimaryAuthority.h>
+#include <LibAuthority/SampleBook.h>
+#include <LibPooler/ConnectionPool.h>
+#include <LibPooler/Fleet.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Pooler {
+
+/** What a statement asks of the database that runs it. */
+struct RoutingNeed
+{
+  /** It writes, or must see all that was acknowledged. */
+  bool needsPrimary = true;
+  /** How old a read may be, where a replica may run it. */
+  Core::Duration maxStaleness{ 0 };
+  /** What the session itself was told was done. */
+  std::optional<Session::LogPosition> sessionFloor;
+  /** Databases that have already turned this statement away. */
+  std::set<std::string> excluded;
+};
+
+/** Where a statement goes. */
+struct RoutingChoice
+{
+  std::shared_ptr<ConnectionPool> pool;
+  bool isPrimary = false;
+  /** The primary's term by the group's record. */
+  Session::Term term = 0;
+  /** What the database's log must hold. */
+  std::optional<Session::LogPosition> floor;
+};
+
+/** One group of databases as this node sees it: chooses who runs what. */
+class GroupRouter
+{
+public:
+  GroupRouter(Core::Scheduler& aScheduler,
+              Sql::DatabaseDialer& aDialer,
+              std::string aName,
+              std::string aDataCentre,
+              Core::Duration aAuthorityLease);
+
+  void SetDatabases(const std::vector<Database>& aDatabases);
+  void SetConnectionLimit(int aLimit);
+
+  void ObserveRecord(const Authority::GroupRecord& aRecord,
+                     Core::Instant aAskedAt);
+  /** The store showed no change in answer to a question. */
+  void RenewAuthority(Core::Instant aAskedAt);
+
+  /** None when no database may be used now. */
+  std::optional<RoutingChoice> Choose(const RoutingNeed& aNeed) const;
+
+  /** An answer of a primary to a statement that was sent under authority. */
+  void AddSample(Core::Instant aSentAt, const Session::LogPosition& aPosition);
+
+  /** Runs aTask once, when something has changed that Choose depends on. */
+  std::uint64_t WaitForChange(std::function<void()> aTask);
+  void CancelWait(std::uint64_t aTicket);
+
+  const std::string& Name() const { return name_; }
+  const Authority::PrimaryAuthority& Authority() const { return authority_; }
+  const Authority::SampleBook& Samples() const { return samples_; }
+  const std::map<std::string, std::shared_ptr<ConnectionPool>>& Pools() const
+  {
+    return pools_;
+  }
+
+private:
+  std::optional<RoutingChoice> ChoosePrimary(const RoutingNeed& aNeed) const;
+  std::optional<Session::LogPosition> FloorOf(const RoutingNeed& aNeed) const;
+  bool IsUsefulReplica(const ConnectionPool& aPool,
+                       const RoutingNeed& aNeed,
+                       const Session::LogPosition& aFloor) const;
+  Core::Duration CostOf(const ConnectionPool& aPool, bool aIsPrimary) const;
+  void Wake();
+
+  Core::Scheduler& scheduler_;
+  Sql::DatabaseDialer& dialer_;
+  std::string name_;
+  std::string dataCentre_;
+  Authority::PrimaryAuthority authority_;
+  Authority::SampleBook samples_;
+  std::map<std::string, std::shared_ptr<ConnectionPool>> pools_;
+  int connectionLimit_ = 1;
+  std::map<std::uint64_t, std::function<void()>> waiting_;
+  std::uint64_t lastTicket_ = 0;
+};
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <LibPooler/GroupRouter.h>
+#include <LibPooler/SessionValues.h>
+#include <LibSql/Statement.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Pooler {
+
+/** A transaction's hold on one connection to one database. */
+struct OpenTransaction
+{
+  bool isReadOnly = false;
+  /** Null until its first statement has opened it at a database. */
+  PooledConnectionHandle connection;
+  std::shared_ptr<ConnectionPool> pool;
+  bool isOnPrimary = false;
+  Session::Term term = 0;
+  bool hasWritten = false;
+};
+
+/** What a statement came to. */
+struct StatementResult
+{
+  std::vector<std::string> rows;
+  std::string signature;
+  std::optional<Sql::Error> error;
+  /** The position that the session's later reads must see, if it wrote. */
+  std::optional<Session::LogPosition> written;
+  /** False when the transaction's connection is gone. */
+  bool keepsTransaction = true;
+  /** How it was run, for the log and the counters. */
+  std::string database;
+  bool ranAtReplica = false;
+  bool wasSent = false;
+  int attempts = 0;
+};
+
+/** What a run needs to know of the session that it belongs to. */
+struct StatementContext
+{
+  const Route& route;
+  const Values& values;
+  const PreparedStatements& prepared;
+  std::optional<Session::LogPosition> floor;
+  /** Null outside a transaction. */
+  OpenTransaction* transaction = nullptr;
+};
+
+/**
+ * Brings one statement of a client to one database and back: chooses the
+ * database, gets a connection, brings it into the session's state, sends the
+ * statement, and decides what the answer, or its lack, lets the client be told.
+ */
+class StatementRun
+{
+public:
+  using Handler = std::function<void(StatementResult)>;
+
+  StatementRun(Core::Scheduler& aScheduler,
+               GroupRouter& aRouter,
+               StatementContext aContext,
+               Sql::Statement aStatement,
+               Handler aDone);
+  ~StatementRun();
+  StatementRun(const StatementRun&) = delete;
+  StatementRun& operator=(const StatementRun&) = delete;
+
+  /** aDone may run, and destroy the run, before this returns. */
+  void Start();
+
+private:
+  enum class Phase
+  {
+    /** No database may be used; something must change first. */
+    AwaitingChoice,
+    AwaitingConnection,
+    /** The connection is brought into the session's state. */
+    Preparing,
+    /** The database has the statement. */
+    Sent,
+  };
+
+  bool IsFirstInTransaction() const;
+  bool IsInTransaction() const;
+  bool IsCommit() const;
+  bool IsWrite() const;
+  bool MayHaveWritten() const;
+  RoutingNeed Need() const;
+  const std::string* Shape() const;
+
+  void Choose();
+  void AwaitChange();
+  void Acquire();
+  void OnConnection(PooledConnectionHandle aConnection);
+  void PrepareConnection();
+  void OnPrepared(const Sql::DatabaseReply& aReply, bool aIsBegin);
+  void SendStatement();
+  bool MaySendNow() const;
+  void OnReply(Sql::DatabaseReply aReply);
+  void OnLost();
+  void OnSuccess(Sql::DatabaseReply aReply);
+  void OnError(const Sql::DatabaseReply& aReply);
+  void OnErrorInTransaction(const Sql::DatabaseReply& aReply);
+  void RollBack();
+  void RecordAnswer(const Sql::DatabaseReply& aReply);
+  void TryElsewhere(bool aExclude, Core::Duration aDelay);
+  void OnTimeout();
+  void OnWaitedTooLong();
+  void DropConnection();
+  void ReturnConnection(bool aIsClean);
+  void Fail(Sql::ErrorCode aCode, std::string aText);
+  void Finish();
+  template<typename Function>
+  auto Guard(Function aFunction);
+
+  Core::Scheduler& scheduler_;
+  GroupRouter& router_;
+  StatementContext context_;
+  Sql::Statement statement_;
+  Handler done_;
+  StatementResult result_;
+  Phase phase_ = Phase::AwaitingChoice;
+  Core::Instant startedAt_;
+  Core::Instant sentAt_{};
+  RoutingNeed need_;
+  RoutingChoice choice_;
+  PooledConnectionHandle connection_;
+  int pendingPreparations_ = 0;
+  bool hasPreparationFailed_ = false;
+  std::uint64_t poolTicket_ = 0;
+  std::uint64_t changeTicket_ = 0;
+  Core::TimerHandle timeout_;
+  Core::TimerHandle waitLimit_;
+  Core::TimerHandle retry_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace Pooler
--- a/Libraries/LibSettings/DaemonArguments.cpp
+++ b/Libraries/LibSettings/DaemonArguments.cpp
@@ -16,7 +16,8 @@
 ReadDaemonArguments(const std::string& aDescription,
                     int aCount,
                     char** aValues,
-                    int& aExitCode)
+                    int& aExitCode,
+                    const SettingsTable& aTable)
 {
   CLI::App app{ aDescription };
   std::string file;
@@ -31,7 +32,7 @@
     return std::nullopt;
   }
   Core::Findings findings;
-  auto settings = ProcessSettings::Load(file, findings);
+  auto settings = ProcessSettings::Load(file, findings, aTable);
   if (!settings) {
     std::cerr << findings.ToText() << '\n';
     aExitCode = kBadSettingsExitCode;
--- /dev/null
+++ b/Libraries/LibSettings/NodeSettingsTable.cpp
@@ -0,0 +1,83 @@
+#include <LibSettings/ProcessSettings.h>
+
+namespace Settings {
+
+namespace {
+
+constexpr std::int64_t kMaxMilliseconds = 3'600'000;
+
+} // namespace
+
+const SettingsTable&
+NodeSettingsTable()
+{
+  static const SettingsTable kTable{
+    { "node.name", SettingType::Text, "", 0, 0, "", "This VM's name." },
+    { "node.data_centre",
+      SettingType::Text,
+      "",
+      0,
+      0,
+      "",
+      "The data centre that the VM stands in." },
+    { "listen.clients",
+      SettingType::Address,
+      "",
+      0,
+      0,
+      "",
+      "Where clients connect." },
+    { "listen.readiness",
+      SettingType::Address,
+      "",
+      0,
+      0,
+      "",
+      "Where the balancer asks whether the node is ready." },
+    { "listen.metrics",
+      SettingType::Address,
+      "",
+      0,
+      0,
+      "",
+      "Where the metrics are served." },
+    { "platform.store",
+      SettingType::Address,
+      "",
+      0,
+      0,
+      "",
+      "The platform's store." },
+    { "platform.promotions",
+      SettingType::Address,
+      "",
+      0,
+      0,
+      "",
+      "Where the platform takes orders to promote a database." },
+    { "stop.grace_ms",
+      SettingType::Integer,
+      "ms",
+      1,
+      kMaxMilliseconds,
+      "6000",
+      "How long a stop may take." },
+    { "authority.lease_ms",
+      SettingType::Integer,
+      "ms",
+      1,
+      kMaxMilliseconds,
+      "900",
+      "How long a primary may be used without asking whether it still is." },
+    { "duty.lease_ms",
+      SettingType::Integer,
+      "ms",
+      1,
+      kMaxMilliseconds,
+      "2400",
+      "How long the failover duty is held without being renewed." },
+  };
+  return kTable;
+}
+
+} // namespace Settings
--- a/Libraries/LibSettings/ProcessSettings.cpp
+++ b/Libraries/LibSettings/ProcessSettings.cpp
@@ -14,16 +14,17 @@
 void
 CheckEntry(const IniEntry& aEntry,
            const std::string& aName,
+           const SettingsTable& aTable,
            Core::Findings& aFindings)
 {
   const std::string name = aEntry.section + '.' + aEntry.key;
   const std::string place = aName + ':' + std::to_string(aEntry.line) + " [" +
                             aEntry.section + "] " + aEntry.key;
-  const SettingSpec* spec = FindSpec(ProcessSettingsTable(), name);
+  const SettingSpec* spec = FindSpec(aTable, name);
   if (spec == nullptr) {
     aFindings.Add(place,
                   "is not a setting; the nearest is " +
-                    std::string(NearestName(ProcessSettingsTable(), name)));
+                    std::string(NearestName(aTable, name)));
     return;
   }
   if (auto problem = CheckValue(*spec, aEntry.value))
@@ -129,14 +130,15 @@
 std::optional<ProcessSettings>
 ProcessSettings::Parse(std::string_view aText,
                        const std::string& aName,
-                       Core::Findings& aFindings)
+                       Core::Findings& aFindings,
+                       const SettingsTable& aTable)
 {
   ProcessSettings settings;
   for (const IniEntry& entry : ReadIni(aText, aName, aFindings)) {
-    CheckEntry(entry, aName, aFindings);
+    CheckEntry(entry, aName, aTable, aFindings);
     settings.values_[entry.section + '.' + entry.key] = entry.value;
   }
-  for (const SettingSpec& spec : ProcessSettingsTable()) {
+  for (const SettingSpec& spec : aTable) {
     if (settings.values_.contains(spec.name))
       continue;
     if (spec.standard.empty() && !spec.mayBeEmpty)
@@ -149,14 +151,16 @@
 }
 
 std::optional<ProcessSettings>
-ProcessSettings::Load(const std::string& aPath, Core::Findings& aFindings)
+ProcessSettings::Load(const std::string& aPath,
+                      Core::Findings& aFindings,
+                      const SettingsTable& aTable)
 {
   const auto text = Core::ReadFile(aPath);
   if (!text) {
     aFindings.Add(aPath, "can't be read");
     return std::nullopt;
   }
-  return Parse(*text, aPath, aFindings);
+  return Parse(*text, aPath, aFindings, aTable);
 }
 
 std::string
--- a/Libraries/LibSettings/include/LibSettings/DaemonArguments.h
+++ b/Libraries/LibSettings/include/LibSettings/DaemonArguments.h
@@ -15,6 +15,7 @@
 ReadDaemonArguments(const std::string& aDescription,
                     int aCount,
                     char** aValues,
-                    int& aExitCode);
+                    int& aExitCode,
+                    const SettingsTable& aTable = ProcessSettingsTable());
 
 } // namespace Settings
--- /dev/null
+++ b/Libraries/LibSql/Statement.cpp
@@ -0,0 +1,38 @@
+#include <LibSql/Statement.h>
+
+namespace Sql {
+
+bool
+SaysNotRun(ErrorCode aCode)
+{
+  switch (aCode) {
+    case ErrorCode::Busy:
+    case ErrorCode::Lagging:
+    case ErrorCode::ReadOnly:
+    case ErrorCode::NoStatement:
+    case ErrorCode::WrongNode:
+    case ErrorCode::ConnectionLimit:
+    case ErrorCode::Malformed:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool
+IsPromise(ErrorCode aCode)
+{
+  switch (aCode) {
+    case ErrorCode::Busy:
+    case ErrorCode::RolledBack:
+    case ErrorCode::Lagging:
+    case ErrorCode::ReadOnly:
+    case ErrorCode::WrongNode:
+    case ErrorCode::ConnectionLimit:
+      return true;
+    default:
+      return false;
+  }
+}
+
+} // namespace Sql
--- a/Libraries/LibWire/HttpConnection.cpp
+++ b/Libraries/LibWire/HttpConnection.cpp
@@ -71,6 +71,8 @@
   if (!aCall.secret.empty())
     evhttp_add_header(
       headers, "Authorization", ("Bearer " + aCall.secret).c_str());
+  for (const auto& [name, value] : aCall.headers)
+    evhttp_add_header(headers, name.c_str(), value.c_str());
   if (!aCall.body.empty()) {
     evhttp_add_header(headers, "Content-Type", "application/json");
     evbuffer_add(evhttp_request_get_output_buffer(request),
--- /dev/null
+++ b/Libraries/LibWire/LineConnection.cpp
@@ -0,0 +1,280 @@
+#include <LibWire/LineConnection.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace Wire {
+
+namespace {
+
+/** The longest line unless the owner says otherwise. */
+constexpr std::size_t kStandardMaxLineBytes = 1024 * 1024;
+
+/** Reading pauses while this much waits to be written. */
+constexpr std::size_t kWriteBacklogBytes = 256 * 1024;
+
+/** How much is read at a time beyond the longest line. */
+constexpr std::size_t kReadAheadBytes = 64 * 1024;
+
+/** How long a closing connection waits for its peer to read. */
+constexpr Core::Duration kLingerTimeout = std::chrono::milliseconds(500);
+
+/** Unacknowledged bytes break the connection after this. */
+constexpr unsigned kUserTimeoutMilliseconds = 3000;
+
+/** Connections that the kernel may hold until they are accepted. */
+constexpr int kAcceptBacklog = 1024;
+
+void
+TuneSocket(int aSocket)
+{
+  const int on = 1;
+  // Best effort: a socket without these options still works, just slower.
+  (void)setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  (void)setsockopt(aSocket,
+                   IPPROTO_TCP,
+                   TCP_USER_TIMEOUT,
+                   &kUserTimeoutMilliseconds,
+                   sizeof kUserTimeoutMilliseconds);
+}
+
+sockaddr_in
+ToSocketAddress(const Address& aAddress)
+{
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(aAddress.port);
+  inet_pton(AF_INET, aAddress.host.c_str(), &result.sin_addr);
+  return result;
+}
+
+} // namespace
+
+LineConnection::LineConnection(Core::Loop& aLoop,
+                               int aSocket,
+                               LineListener& aListener)
+  : loop_(aLoop)
+  , listener_(&aListener)
+  , events_(
+      bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE))
+  , maxLineBytes_(kStandardMaxLineBytes)
+  , isConnected_(true)
+{
+  TuneSocket(aSocket);
+  Attach();
+}
+
+LineConnection::LineConnection(Core::Loop& aLoop,
+                               const Address& aAddress,
+                               Core::Duration aTimeout,
+                               LineListener& aListener)
+  : loop_(aLoop)
+  , listener_(&aListener)
+  // A connect that fails at once must not call back from the constructor.
+  , events_(
+      bufferevent_socket_new(aLoop.Base(),
+                             -1,
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+  , maxLineBytes_(kStandardMaxLineBytes)
+{
+  Attach();
+  connectTimer_ = loop_.After(aTimeout, [this] {
+    listener_->OnEnd(LineEnd::ConnectTimedOut);
+  });
+  sockaddr_in address = ToSocketAddress(aAddress);
+  // A failure is reported through the event callback as well.
+  (void)bufferevent_socket_connect(
+    events_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  if (const int socket = bufferevent_getfd(events_); socket >= 0)
+    TuneSocket(socket);
+}
+
+LineConnection::~LineConnection()
+{
+  *alive_ = false;
+  bufferevent_free(events_);
+}
+
+void
+LineConnection::Attach()
+{
+  bufferevent_setcb(
+    events_,
+    [](bufferevent*, void* aSelf) {
+      static_cast<LineConnection*>(aSelf)->ReadLines();
+    },
+    [](bufferevent*, void* aSelf) {
+      auto* self = static_cast<LineConnection*>(aSelf);
+      if (self->IsLinger()) {
+        self->FinishLinger();
+        return;
+      }
+      if (!self->isBlocked_)
+        return;
+      self->isBlocked_ = false;
+      self->ReadLines();
+    },
+    [](bufferevent*, short aWhat, void* aSelf) {
+      static_cast<LineConnection*>(aSelf)->OnEvent(aWhat);
+    },
+    this);
+  bufferevent_enable(events_, EV_READ | EV_WRITE);
+}
+
+void
+LineConnection::ReadLines()
+{
+  evbuffer* input = bufferevent_get_input(events_);
+  if (IsLinger()) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
+  const std::shared_ptr<bool> alive = alive_;
+  while (!isPaused_) {
+    if (evbuffer_get_length(bufferevent_get_output(events_)) >
+        kWriteBacklogBytes) {
+      isBlocked_ = true;
+      bufferevent_disable(events_, EV_READ);
+      return;
+    }
+    std::size_t length = 0;
+    char* line = evbuffer_readln(input, &length, EVBUFFER_EOL_CRLF_STRICT);
+    if (line == nullptr)
+      break;
+    const std::unique_ptr<char, decltype(&std::free)> owned(line, &std::free);
+    if (length > maxLineBytes_) {
+      listener_->OnEnd(LineEnd::LineTooLong);
+      return;
+    }
+    listener_->OnLine({ line, length });
+    if (!*alive || IsLinger())
+      return;
+  }
+  if (evbuffer_get_length(input) > maxLineBytes_ && !isPaused_) {
+    listener_->OnEnd(LineEnd::LineTooLong);
+    return;
+  }
+  // While paused, what has been read is enough; the peer is made to wait.
+  const bool isFull =
+    isPaused_ && evbuffer_get_length(input) > kReadAheadBytes;
+  if (isFull)
+    bufferevent_disable(events_, EV_READ);
+  else
+    bufferevent_enable(events_, EV_READ);
+}
+
+void
+LineConnection::SetPaused(bool aPaused)
+{
+  if (isPaused_ == aPaused)
+    return;
+  isPaused_ = aPaused;
+  if (aPaused)
+    return;
+  // The caller may be inside OnLine, so the rest is read a moment later.
+  loop_.Defer([this, alive = alive_] {
+    if (*alive)
+      ReadLines();
+  });
+}
+
+void
+LineConnection::OnEvent(short aWhat)
+{
+  if (IsLinger()) {
+    // The peer has gone; the socket goes when the linger time is over.
+    bufferevent_disable(events_, EV_READ | EV_WRITE);
+    return;
+  }
+  if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
+    isConnected_ = true;
+    connectTimer_.reset();
+    if (const int socket = bufferevent_getfd(events_); socket >= 0)
+      TuneSocket(socket);
+    listener_->OnConnected();
+    return;
+  }
+  const bool isRefused = !isConnected_ && errno == ECONNREFUSED;
+  connectTimer_.reset();
+  listener_->OnEnd(isRefused ? LineEnd::Refused : LineEnd::Closed);
+}
+
+void
+LineConnection::Write(std::string_view aBytes)
+{
+  bufferevent_write(events_, aBytes.data(), aBytes.size());
+}
+
+void
+LineConnection::FinishLinger()
+{
+  // All is written; half-close, so that the peer sees the end and closes.
+  shutdown(bufferevent_getfd(events_), SHUT_WR);
+}
+
+void
+LineConnection::CloseAfterWriting(std::unique_ptr<LineConnection> aConnection)
+{
+  const std::shared_ptr<LineConnection> connection(std::move(aConnection));
+  connection->listener_ = nullptr;
+  connection->connectTimer_.reset();
+  bufferevent_enable(connection->events_, EV_READ | EV_WRITE);
+  if (evbuffer_get_length(bufferevent_get_output(connection->events_)) == 0)
+    connection->FinishLinger();
+  connection->loop_.DeferFor(kLingerTimeout, [connection] {});
+}
+
+LineServer::LineServer(Core::Loop& aLoop, AcceptHandler aHandler)
+  : loop_(aLoop)
+  , handler_(std::move(aHandler))
+{
+}
+
+LineServer::~LineServer()
+{
+  Close();
+}
+
+std::optional<Address>
+LineServer::Listen(const Address& aAddress, Core::LastReason& aReason)
+{
+  sockaddr_in address = ToSocketAddress(aAddress);
+  listener_ = evconnlistener_new_bind(
+    loop_.Base(),
+    [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
+      static_cast<LineServer*>(aSelf)->handler_(aSocket);
+    },
+    this,
+    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+    kAcceptBacklog,
+    reinterpret_cast<sockaddr*>(&address),
+    sizeof address);
+  if (listener_ == nullptr)
+    return aReason.Set("can't listen on " + aAddress.ToText() + ": " +
+                       std::strerror(errno));
+  socklen_t size = sizeof address;
+  getsockname(evconnlistener_get_fd(listener_),
+              reinterpret_cast<sockaddr*>(&address),
+              &size);
+  return Address{ aAddress.host, ntohs(address.sin_port) };
+}
+
+void
+LineServer::Close()
+{
+  if (listener_ != nullptr)
+    evconnlistener_free(std::exchange(listener_, nullptr));
+}
+
+} // namespace Wire
--- a/Libraries/LibWire/include/LibWire/HttpConnection.h
+++ b/Libraries/LibWire/include/LibWire/HttpConnection.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 struct evhttp_connection;
 struct evhttp_request;
@@ -43,6 +45,8 @@
   std::string body;
   /** A bearer secret, or empty. */
   std::string secret;
+  /** Further headers: names and values. */
+  std::vector<std::pair<std::string, std::string>> headers;
   Core::Duration timeout{ 0 };
 };
 
--- /dev/null
+++ b/Services/Node/NodeServer.cpp
@@ -0,0 +1,152 @@
+#include "NodeServer.h"
+
+#include <LibCore/Log.h>
+#include <LibCore/Random.h>
+
+namespace {
+
+/** The balancer needs two questions, a second apart, to notice a stop. */
+constexpr Core::Duration kBalancerDelay = std::chrono::milliseconds(2200);
+
+/** How often a stop looks at what is left. */
+constexpr Core::Duration kStopInterval = std::chrono::milliseconds(100);
+
+/** Ending takes a moment; the process must be gone before it is killed. */
+constexpr Core::Duration kExitMargin = std::chrono::milliseconds(700);
+
+/** An answer to a database's or the platform's call is given up after these. */
+constexpr Core::Duration kProbeTimeout = std::chrono::milliseconds(500);
+constexpr Core::Duration kPromoteTimeout = std::chrono::milliseconds(900);
+
+constexpr int kIncarnationDigits = 12;
+
+Pooler::NodeSettings
+ToNodeSettings(const Settings::ProcessSettings& aSettings)
+{
+  using std::chrono::milliseconds;
+  Pooler::NodeSettings result;
+  result.name = aSettings.Text("node.name");
+  result.dataCentre = aSettings.Text("node.data_centre");
+  result.incarnation = Core::Random::FromSystem().Hex(kIncarnationDigits);
+  result.authorityLease = milliseconds(aSettings.Integer("authority.lease_ms"));
+  result.duty.duration = milliseconds(aSettings.Integer("duty.lease_ms"));
+  // The holder stops early enough for a call that is under way to be given up,
+  // and renews often enough to lose two renewals.
+  result.duty.safety = result.duty.duration / 8;
+  result.duty.renewal = result.duty.duration / 4;
+  result.supervisor.authorityLease = result.authorityLease;
+  result.supervisor.clockMargin = milliseconds(50);
+  result.supervisor.probeInterval = milliseconds(250);
+  result.supervisor.probeTimeout = kProbeTimeout;
+  result.supervisor.silenceLimit = milliseconds(900);
+  result.supervisor.choiceTimeout = milliseconds(400);
+  result.supervisor.promoteTimeout = kPromoteTimeout;
+  result.supervisor.promotionPatience = milliseconds(3000);
+  result.connectionShare = 0.85;
+  return result;
+}
+
+} // namespace
+
+NodeServer::NodeServer(Core::Loop& aLoop,
+                       const Settings::ProcessSettings& aSettings)
+  : loop_(aLoop)
+  , settings_(aSettings)
+  , dialer_(aLoop)
+  , store_(aLoop, aSettings.Address("platform.store"), metrics_)
+  , promoter_(aLoop, aSettings.Address("platform.promotions"))
+  , node_(aLoop,
+          ToNodeSettings(aSettings),
+          dialer_,
+          store_,
+          promoter_,
+          metrics_,
+          Core::LogChange)
+  , feeds_(aLoop,
+           store_,
+           node_,
+           std::chrono::milliseconds(aSettings.Integer("authority.lease_ms")))
+  , door_(aLoop, node_)
+  , readiness_(aLoop)
+  , metricsServer_(aLoop)
+{
+  AddRoutes();
+}
+
+void
+NodeServer::AddRoutes()
+{
+  readiness_.Route(
+    Wire::HttpMethod::Get,
+    "/readyz",
+    [this](const Wire::HttpRequest&, const Wire::HttpReplyHandle& aReply) {
+      Wire::HttpAnswer answer;
+      answer.status = static_cast<int>(
+        node_.IsReady() ? Wire::HttpStatus::Ok
+                        : Wire::HttpStatus::ServiceUnavailable);
+      aReply->Send(answer);
+    });
+  metricsServer_.Route(
+    Wire::HttpMethod::Get,
+    "/metrics",
+    [this](const Wire::HttpRequest&, const Wire::HttpReplyHandle& aReply) {
+      node_.UpdateGauges();
+      metrics_.Set("sessions", static_cast<std::int64_t>(door_.Sessions()));
+      Wire::HttpAnswer answer;
+      answer.status = static_cast<int>(Wire::HttpStatus::Ok);
+      answer.contentType = "text/plain";
+      answer.body = metrics_.ToText();
+      aReply->Send(answer);
+    });
+}
+
+bool
+NodeServer::Listen(Wire::HttpServer& aServer,
+                   const Wire::Address& aAddress,
+                   Core::LastReason& aReason)
+{
+  return aServer.Listen(aAddress, aReason).has_value();
+}
+
+bool
+NodeServer::Start(Core::LastReason& aReason)
+{
+  if (!door_.Listen(settings_.Address("listen.clients"), aReason) ||
+      !Listen(readiness_, settings_.Address("listen.readiness"), aReason) ||
+      !Listen(metricsServer_, settings_.Address("listen.metrics"), aReason))
+    return false;
+  feeds_.Start();
+  return true;
+}
+
+void
+NodeServer::Stop()
+{
+  if (node_.IsStopping())
+    return;
+  Core::LogChange("stopping",
+                  { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
+  node_.BeginStop();
+  stopBegan_ = loop_.Now();
+  stopTimer_ = loop_.Every(kStopInterval, [this] { ContinueStop(); });
+}
+
+void
+NodeServer::ContinueStop()
+{
+  const Core::Duration grace =
+    std::chrono::milliseconds(settings_.Integer("stop.grace_ms"));
+  const Core::Duration passed = loop_.Now() - stopBegan_;
+  if (passed < kBalancerDelay)
+    return;
+  door_.CloseIdleSessions();
+  // Open transactions have the first half of the grace to end.
+  if (passed > grace / 2)
+    door_.EndRestingTransactions();
+  if (door_.Sessions() == 0 || passed > grace - kExitMargin) {
+    Core::LogChange(
+      "stopped",
+      { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
+    loop_.Stop();
+  }
+}
--- /dev/null
+++ b/Services/Node/NodeServer.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "ClientConnection.h"
+#include "DatabaseConnection.h"
+#include "PlatformFeeds.h"
+#include "PromoteClient.h"
+#include "StoreClient.h"
+
+#include <LibSettings/ProcessSettings.h>
+#include <LibWire/HttpServer.h>
+
+/** One node: its sockets, and the parts of the libraries behind them. */
+class NodeServer
+{
+public:
+  NodeServer(Core::Loop& aLoop, const Settings::ProcessSettings& aSettings);
+
+  /** Listens and begins to learn about the fleet. */
+  bool Start(Core::LastReason& aReason);
+
+  /** Sends clients elsewhere, lets transactions end, and then ends the loop. */
+  void Stop();
+
+private:
+  bool Listen(Wire::HttpServer& aServer,
+              const Wire::Address& aAddress,
+              Core::LastReason& aReason);
+  void AddRoutes();
+  void ContinueStop();
+
+  Core::Loop& loop_;
+  Settings::ProcessSettings settings_;
+  Metrics::Registry metrics_;
+  Adapter::LineDialer dialer_;
+  Adapter::StoreClient store_;
+  Adapter::PromoteClient promoter_;
+  Pooler::Node node_;
+  Adapter::PlatformFeeds feeds_;
+  Adapter::ClientDoor door_;
+  Wire::HttpServer readiness_;
+  Wire::HttpServer metricsServer_;
+  Core::Instant stopBegan_{};
+  Core::TimerHandle stopTimer_;
+};
