LibWire, LibAuthority: Drop abandoned connections' owners; begin anew on news

Change: LineConnection::Abandon forgets the listener at once; news of the record takes the supervisor back to watching; questions on pooled connections time out.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -43,9 +43,16 @@
     return;
   const bool isOther =
     record_ && aRecord && aRecord->primary != record_->primary;
+  const bool isNews =
+    record_ && aRecord && aRecord->version > record_->version;
   record_ = aRecord;
   if (isOther)
     primaryAliveAt_ = scheduler_.Now();
+  const bool isWriting = stage_ == Stage::Announcing ||
+                         stage_ == Stage::Naming || stage_ == Stage::Completing;
+  // Somebody else has taken the change further; begin from what there is now.
+  if (isNews && stage_ != Stage::Watching && !isWriting)
+    Abandon();
 }
 
 void
--- a/Libraries/LibPooler/ConnectionPool.cpp
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -209,23 +209,33 @@
 }
 
 void
-ConnectionPool::RollBackAndRelease(const PooledConnectionHandle& aConnection)
+ConnectionPool::RunAndRelease(const PooledConnectionHandle& aConnection,
+                              const Sql::DatabaseCommand& aCommand,
+                              Core::Duration aTimeout,
+                              Sql::ReplyHandler aDone)
 {
   const auto finish = [this,
                        alive = alive_,
                        aConnection,
-                       isDone = std::make_shared<bool>(false)](bool aIsClean) {
+                       isDone = std::make_shared<bool>(false),
+                       done = std::move(aDone)](Sql::DatabaseReply aReply) {
     if (std::exchange(*isDone, true) || !*alive)
       return;
-    Release(aConnection, aIsClean);
+    Release(aConnection,
+            aReply.isComplete && aReply.state == Sql::TransactionState::Idle);
+    done(std::move(aReply));
   };
-  aConnection->link->Send({ .kind = Sql::CommandKind::Rollback },
-                          [finish](const Sql::DatabaseReply& aReply) {
-                            finish(aReply.IsSuccess() &&
-                                   aReply.state ==
-                                     Sql::TransactionState::Idle);
-                          });
-  scheduler_.DeferFor(kRollbackTimeout, [finish] { finish(false); });
+  aConnection->link->Send(aCommand, finish);
+  scheduler_.DeferFor(aTimeout, [finish] { finish({}); });
+}
+
+void
+ConnectionPool::RollBackAndRelease(const PooledConnectionHandle& aConnection)
+{
+  RunAndRelease(aConnection,
+                { .kind = Sql::CommandKind::Rollback },
+                kRollbackTimeout,
+                [](const Sql::DatabaseReply&) {});
 }
 
 void
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -21,6 +21,9 @@
 /** The primary is asked when no answer of it is younger than this. */
 constexpr Core::Duration kSampleAge = std::chrono::milliseconds(500);
 
+/** An answer to the question for a sample is given up after this. */
+constexpr Core::Duration kSampleTimeout = std::chrono::milliseconds(1000);
+
 /** A node that knows nothing new for this long sends its clients elsewhere. */
 constexpr Core::Duration kBlindLimit = std::chrono::milliseconds(2500);
 
@@ -331,14 +334,14 @@
       }
       const bool holds =
         aRouter.Authority().HoldsFor(choice.term, sentAt);
-      aConnection->link->Send(
+      choice.pool->RunAndRelease(
+        aConnection,
         { .kind = Sql::CommandKind::Status },
-        [&aRouter, finish, choice, aConnection, sentAt, holds](
-          const Sql::DatabaseReply& aReply) {
+        kSampleTimeout,
+        [&aRouter, finish, sentAt, holds](const Sql::DatabaseReply& aReply) {
           finish();
           if (holds && aReply.IsSuccess() && aReply.position)
             aRouter.AddSample(sentAt, *aReply.position);
-          choice.pool->Release(aConnection, aReply.isComplete);
         });
     });
 }
--- a/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
+++ b/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
@@ -66,6 +66,15 @@
   /** Takes a connection back; one that may be unclean is closed. */
   void Release(const PooledConnectionHandle& aConnection, bool aIsClean);
 
+  /**
+   * Sends a command of our own on a connection and takes the connection back.
+   * aDone gets an incomplete reply if there is no answer within aTimeout.
+   */
+  void RunAndRelease(const PooledConnectionHandle& aConnection,
+                     const Sql::DatabaseCommand& aCommand,
+                     Core::Duration aTimeout,
+                     Sql::ReplyHandler aDone);
+
   /** Rolls back what is open on a connection and takes it back. */
   void RollBackAndRelease(const PooledConnectionHandle& aConnection);
 
--- a/Libraries/LibWire/LineConnection.cpp
+++ b/Libraries/LibWire/LineConnection.cpp
@@ -235,6 +235,18 @@
   connection->loop_.DeferFor(kLingerTimeout, [connection] {});
 }
 
+void
+LineConnection::Abandon(std::unique_ptr<LineConnection> aConnection)
+{
+  if (aConnection == nullptr)
+    return;
+  const std::shared_ptr<LineConnection> connection(std::move(aConnection));
+  connection->listener_ = nullptr;
+  connection->connectTimer_.reset();
+  bufferevent_disable(connection->events_, EV_READ | EV_WRITE);
+  connection->loop_.Defer([connection] {});
+}
+
 LineServer::LineServer(Core::Loop& aLoop, AcceptHandler aHandler)
   : loop_(aLoop)
   , handler_(std::move(aHandler))
--- a/Libraries/LibWire/include/LibWire/LineConnection.h
+++ b/Libraries/LibWire/include/LibWire/LineConnection.h
@@ -70,6 +70,12 @@
    */
   static void CloseAfterWriting(std::unique_ptr<LineConnection> aConnection);
 
+  /**
+   * Closes the connection; the listener hears nothing more, also when this is
+   * called while it is being told something.
+   */
+  static void Abandon(std::unique_ptr<LineConnection> aConnection);
+
   /** Stops or resumes handing out lines. */
   void SetPaused(bool aPaused);
 
