--- a/Libraries/LibAuthority/DutyLease.cpp
+++ b/Libraries/LibAuthority/DutyLease.cpp
@@ -56,6 +56,9 @@
 {
   isWriting_ = false;
   nextRenewal_ = aAskedAt + timing_.renewal;
+  // The row is another one than was known; it must be read first.
+  if (aOutcome.result == WriteResult::Conflict)
+    hasObserved_ = false;
   if (aOutcome.result != WriteResult::Applied || aOutcome.version < version_)
     return;
   if (token_ == 0 || holder_ != self_)
--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -86,7 +86,7 @@
 {
   EnterStage(Stage::Watching);
   statuses_.clear();
-  fencedAt_.reset();
+  steppedDownAt_.reset();
   isPromoteCalled_ = false;
 }
 
@@ -123,8 +123,7 @@
         WatchPrimary();
       return;
     case Stage::Fencing:
-      if (now - stageSince_ > timing_.authorityLease + timing_.clockMargin)
-        OnFenced("waited");
+      CheckFence();
       return;
     case Stage::Choosing:
       AskCandidates();
@@ -194,7 +193,8 @@
     BeginChange("leaving");
     return;
   }
-  if (now - primaryAliveAt_ > timing_.silenceLimit && HasUsefulCandidate()) {
+  if (now - primaryAliveAt_ > timing_.silenceLimit && HasUsefulCandidate() &&
+      port_.IsLostToOthers(group_, now - primaryAliveAt_)) {
     BeginChange("silent");
     return;
   }
@@ -291,15 +291,14 @@
 {
   EnterStage(Stage::Fencing);
   statuses_.clear();
-  fencedAt_.reset();
+  steppedDownAt_.reset();
   port_.StepDown(record_->primary,
                  record_->term + 1,
                  timing_.probeTimeout,
                  Guard([this](const ProbeOutcome& aOutcome) {
                    if (!aOutcome.status || aOutcome.status->isPrimary)
                      return;
-                   fencedAt_ = aOutcome.status->received;
-                   OnFenced("stepped_down");
+                   steppedDownAt_ = aOutcome.status->received;
                  }));
   port_.RevokeEverywhere(*record_, [this, epoch = epoch_] {
     if (epoch == epoch_)
@@ -307,6 +306,18 @@
   });
 }
 
+void
+GroupSupervisor::CheckFence()
+{
+  // A database that has stepped down refuses all that may write, so that only
+  // plain reads are left to be waited for.
+  const Core::Duration lease = steppedDownAt_
+                                 ? timing_.authorityLease.plainReads
+                                 : timing_.authorityLease.fenced;
+  if (scheduler_.Now() - stageSince_ > lease + timing_.clockMargin)
+    OnFenced(steppedDownAt_ ? "stepped_down" : "waited");
+}
+
 void
 GroupSupervisor::OnFenced(std::string_view aHow)
 {
@@ -373,7 +384,7 @@
   if (answered < useful && !isLate)
     return;
   // What the old primary acknowledged is on its way to the replicas.
-  if (fencedAt_ && statuses_.at(best->id).received < *fencedAt_ && !isLate)
+  if (steppedDownAt_ && statuses_.at(best->id).received < *steppedDownAt_ && !isLate)
     return;
   Name(best->id);
 }
--- a/Libraries/LibAuthority/PrimaryAuthority.cpp
+++ b/Libraries/LibAuthority/PrimaryAuthority.cpp
@@ -13,7 +13,7 @@
   if (isNew) {
     // A lease belongs to the primary that it was given for.
     if (!record_ || record_->term != aRecord.term || aRecord.change)
-      until_ = {};
+      askedAt_ = kNever;
     record_ = aRecord;
     isRevoked_ = false;
   }
@@ -25,20 +25,33 @@
 PrimaryAuthority::Renew(Core::Instant aAskedAt)
 {
   if (record_ && !record_->change && !isRevoked_)
-    until_ = std::max(until_, aAskedAt + lease_);
+    askedAt_ = std::max(askedAt_, aAskedAt);
 }
 
 void
 PrimaryAuthority::Revoke()
 {
-  until_ = {};
+  askedAt_ = kNever;
   isRevoked_ = true;
 }
 
+bool
+PrimaryAuthority::HoldsWithin(Core::Duration aLease, Core::Instant aNow) const
+{
+  return record_ && !record_->change && askedAt_ != kNever &&
+         aNow - askedAt_ < aLease;
+}
+
 bool
 PrimaryAuthority::Holds(Core::Instant aNow) const
 {
-  return record_ && !record_->change && aNow < until_;
+  return HoldsWithin(lease_.fenced, aNow);
+}
+
+bool
+PrimaryAuthority::HoldsForPlainReads(Core::Instant aNow) const
+{
+  return HoldsWithin(lease_.plainReads, aNow);
 }
 
 bool
--- a/Libraries/LibAuthority/include/LibAuthority/CoordinationStore.h
+++ b/Libraries/LibAuthority/include/LibAuthority/CoordinationStore.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace Authority {
 
@@ -44,7 +46,10 @@
   std::uint64_t version = 0;
 };
 
-/** The shared store's conditional write, which is linearizable. */
+/** Rows whose keys begin so are read when needed, and not followed. */
+inline constexpr std::string_view kLeasePrefix = "lease/";
+
+/** The shared store's rows, which are linearizable. */
 class CoordinationStore
 {
 public:
@@ -56,6 +61,14 @@
    */
   virtual void Write(const StoredRow& aRow,
                      std::function<void(WriteOutcome)> aDone) = 0;
+
+  /** Reads one row; none without an answer, version 0 if there is no row. */
+  virtual void Read(const std::string& aKey,
+                    std::function<void(std::optional<StoredRow>)> aDone) = 0;
+
+  /** Removes the row if its version is still aRow.version. */
+  virtual void Remove(const StoredRow& aRow,
+                      std::function<void(WriteOutcome)> aDone) = 0;
 };
 
 } // namespace Authority
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -2,6 +2,7 @@
 
 #include <LibAuthority/CoordinationStore.h>
 #include <LibAuthority/GroupRecord.h>
+#include <LibAuthority/PrimaryAuthority.h>
 #include <LibCore/Scheduler.h>
 #include <LibSql/DatabaseLink.h>
 
@@ -61,6 +62,13 @@
   /** True while this node holds the failover duty for at least aMargin. */
   virtual bool HoldsDuty(Core::Duration aMargin) const = 0;
 
+  /**
+   * True if a primary that is silent towards this node is so towards the
+   * others as well, as far as they can be asked.
+   */
+  virtual bool IsLostToOthers(const std::string& aGroup,
+                              Core::Duration aSilence) const = 0;
+
   /** Asks a database for its status; gives up after aTimeout. */
   virtual void Probe(const std::string& aId,
                      Core::Duration aTimeout,
@@ -94,7 +102,7 @@
 struct SupervisorTiming
 {
   /** How long a node may use a primary without asking again. */
-  Core::Duration authorityLease{ 0 };
+  AuthorityLease authorityLease;
   /** Longer than clocks of two VMs drift apart during a lease. */
   Core::Duration clockMargin{ 0 };
   /** How often the primary is asked. */
@@ -163,6 +171,7 @@
   void OnPrimaryProbe(const ProbeOutcome& aOutcome);
   void BeginChange(std::string_view aReason);
   void BeginFencing();
+  void CheckFence();
   void OnFenced(std::string_view aHow);
   void BeginChoosing();
   void AskCandidates();
@@ -196,7 +205,7 @@
   Core::Instant primaryAliveAt_{};
   std::map<std::string, Sql::DatabaseStatus> statuses_;
   /** Where the old primary's log ended once it had stepped down. */
-  std::optional<Session::LogPosition> fencedAt_;
+  std::optional<Session::LogPosition> steppedDownAt_;
   Core::Instant promoteCalledAt_{};
   bool isPromoteCalled_ = false;
 };
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
@@ -7,6 +7,18 @@
 
 namespace Authority {
 
+/** A time before all others, for questions that prove nothing. */
+inline constexpr Core::Instant kNever = Core::Instant::min();
+
+/** How long an answer that shows no change may be relied upon. */
+struct AuthorityLease
+{
+  /** For what the database itself refuses once it has stepped down. */
+  Core::Duration fenced{ 0 };
+  /** For plain reads, which a former primary answers like any replica. */
+  Core::Duration plainReads{ 0 };
+};
+
 /**
  * This node's right to use a group's primary: a lease of knowledge.
  *
@@ -19,7 +31,7 @@
 class PrimaryAuthority
 {
 public:
-  explicit PrimaryAuthority(Core::Duration aLease)
+  explicit PrimaryAuthority(AuthorityLease aLease)
     : lease_(aLease)
   {
   }
@@ -36,19 +48,31 @@
   /** Ends the lease at once, whatever is observed of the known record later. */
   void Revoke();
 
-  /** True while no other primary can have been promoted. */
+  /**
+   * True while no other primary can have been promoted, unless this one has
+   * stepped down and refuses writes and transactions that may write.
+   */
   bool Holds(Core::Instant aNow) const;
 
+  /** True while no other primary can have been promoted at all. */
+  bool HoldsForPlainReads(Core::Instant aNow) const;
+
   /** True while it holds for the primary of aTerm. */
   bool HoldsFor(Session::Term aTerm, Core::Instant aNow) const;
 
   const std::optional<GroupRecord>& Record() const { return record_; }
-  Core::Instant Until() const { return until_; }
+  /** When the question was asked that the lease rests on. */
+  Core::Instant AskedAt() const
+  {
+    return askedAt_;
+  }
 
 private:
-  Core::Duration lease_;
+  bool HoldsWithin(Core::Duration aLease, Core::Instant aNow) const;
+
+  AuthorityLease lease_;
   std::optional<GroupRecord> record_;
-  Core::Instant until_{};
+  Core::Instant askedAt_ = kNever;
   bool isRevoked_ = false;
 };
 
--- /dev/null
+++ b/Libraries/LibPeers/PeerServer.cpp
@@ -0,0 +1,116 @@
+#include <LibPeers/PeerServer.h>
+
+#include <LibCore/Log.h>
+
+#include <limits>
+#include <utility>
+
+namespace Peers {
+
+namespace {
+
+constexpr std::int64_t kAnyNumber = std::numeric_limits<std::int64_t>::max();
+
+Pooler::Heartbeat
+ReadHeartbeat(Wire::FieldReader& aReader)
+{
+  Pooler::Heartbeat heartbeat;
+  heartbeat.sender = aReader.String("sender");
+  heartbeat.receiver = aReader.String("receiver");
+  if (const auto echo = aReader.OptionalInteger("echo_us", 0, kAnyNumber))
+    heartbeat.echo = Core::Instant(Core::Duration(*echo));
+  if (const auto newest =
+        aReader.OptionalInteger("newest_record", 0, kAnyNumber))
+    heartbeat.newestRecord = static_cast<std::uint64_t>(*newest);
+  return heartbeat;
+}
+
+} // namespace
+
+PeerServer::PeerServer(Core::Loop& aLoop, Pooler::PeerHandler& aHandler)
+  : handler_(aHandler)
+  , server_(aLoop)
+{
+  AddRoutes();
+}
+
+std::optional<Wire::Address>
+PeerServer::Listen(const Wire::Address& aAddress, Core::LastReason& aReason)
+{
+  return server_.Listen(aAddress, aReason);
+}
+
+void
+PeerServer::Route(const std::string& aPath, Task aTask)
+{
+  server_.Route(
+    Wire::HttpMethod::Post,
+    aPath,
+    [this, task = std::move(aTask)](const Wire::HttpRequest& aRequest,
+                                    const Wire::HttpReplyHandle& aReply) {
+      Core::Findings findings;
+      const auto body = Wire::ParseObject(aRequest.body, findings);
+      boost::json::object answer{ { "member", handler_.MemberKey() } };
+      if (body) {
+        Wire::FieldReader reader(*body, findings);
+        task(reader, answer);
+      }
+      if (!findings.IsEmpty()) {
+        Core::LogChange("peer_message_unreadable",
+                        { { "findings", findings.ToText() } });
+        aReply->Send(Wire::HttpAnswer::Error(Wire::HttpStatus::BadRequest,
+                                             findings.ToText()));
+        return;
+      }
+      aReply->Send(Wire::HttpAnswer::Json(Wire::HttpStatus::Ok, answer));
+    });
+}
+
+void
+PeerServer::AddRoutes()
+{
+  Route("/v1/heartbeat",
+        [this](Wire::FieldReader& aReader, boost::json::object& aAnswer) {
+          const Pooler::HeartbeatAnswer answer =
+            handler_.OnHeartbeat(ReadHeartbeat(aReader));
+          if (answer.clock)
+            aAnswer["clock_us"] = answer.clock->time_since_epoch().count();
+          boost::json::array reached;
+          for (const std::string& group : answer.reachedGroups)
+            reached.emplace_back(group);
+          aAnswer["reached"] = std::move(reached);
+        });
+  Route("/v1/record",
+        [this](Wire::FieldReader& aReader, boost::json::object& aAnswer) {
+          const std::string group = aReader.String("group");
+          const std::string text = aReader.String("record");
+          const auto version = aReader.Integer("version", 0, kAnyNumber);
+          Core::LastReason reason;
+          auto record = Authority::GroupRecord::Parse(group, text, reason);
+          if (!record) {
+            // Without this member's name, the sender doesn't count it as told.
+            aAnswer.erase("member");
+            Core::LogChange("peer_record_unreadable",
+                            { { "reason", reason.Text() } });
+            return;
+          }
+          record->version = static_cast<std::uint64_t>(version);
+          handler_.OnRecord(*record);
+        });
+  Route("/v1/records",
+        [this](Wire::FieldReader& aReader, boost::json::object& aAnswer) {
+          boost::json::array list;
+          for (const Pooler::RelayedRecord& relayed :
+               handler_.RecordsFor(aReader.String("asker"))) {
+            boost::json::object item{ { "group", relayed.record.group },
+                                      { "version", relayed.record.version },
+                                      { "record", relayed.record.ToText() } };
+            if (relayed.age)
+              item["age_us"] = relayed.age->count();
+            list.push_back(std::move(item));
+          }
+          aAnswer["records"] = std::move(list);
+        });
+}
+
+} // namespace Peers
--- a/Libraries/LibPooler/GroupRouter.cpp
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -28,12 +28,12 @@
                          Sql::DatabaseDialer& aDialer,
                          std::string aName,
                          std::string aDataCentre,
-                         Core::Duration aAuthorityLease)
+                         Authority::AuthorityLease aLease)
   : scheduler_(aScheduler)
   , dialer_(aDialer)
   , name_(std::move(aName))
   , dataCentre_(std::move(aDataCentre))
-  , authority_(aAuthorityLease)
+  , authority_(aLease)
 {
 }
 
@@ -140,7 +140,12 @@
   const auto pool = pools_.find(record.primary);
   if (pool == pools_.end() || aNeed.excluded.contains(record.primary))
     return std::nullopt;
-  return RoutingChoice{ pool->second, true, record.term, std::nullopt };
+  RoutingChoice choice;
+  choice.pool = pool->second;
+  choice.isPrimary = true;
+  choice.term = record.term;
+  choice.needsFencedRead = !authority_.HoldsForPlainReads(scheduler_.Now());
+  return choice;
 }
 
 std::optional<RoutingChoice>
@@ -167,7 +172,9 @@
     if (cost >= bestCost)
       continue;
     bestCost = cost;
-    best = RoutingChoice{ pool, false, 0, floor };
+    best = RoutingChoice{};
+    best->pool = pool;
+    best->floor = floor;
   }
   return best;
 }
--- /dev/null
+++ b/Libraries/LibPooler/MemberRoster.cpp
@@ -0,0 +1,68 @@
+#include <LibPooler/MemberRoster.h>
+
+#include <boost/json.hpp>
+
+namespace Pooler {
+
+Authority::StoredRow
+MemberRoster::RowOf(const Member& aMember)
+{
+  const boost::json::object json{ { "name", aMember.name },
+                                  { "incarnation", aMember.incarnation },
+                                  { "data_centre", aMember.dataCentre },
+                                  { "address", aMember.address.ToText() },
+                                  { "expelled", aMember.isExpelled } };
+  return { std::string(kKeyPrefix) + aMember.Key(),
+           boost::json::serialize(json),
+           aMember.version };
+}
+
+bool
+MemberRoster::Apply(const Authority::StoredRow& aRow, Core::LastReason& aReason)
+{
+  const std::string key = aRow.key.substr(kKeyPrefix.size());
+  if (aRow.value.empty()) {
+    members_.erase(key);
+    return true;
+  }
+  Member member;
+  member.version = aRow.version;
+  try {
+    const boost::json::value json = boost::json::parse(aRow.value);
+    const boost::json::object& fields = json.as_object();
+    member.name = fields.at("name").as_string();
+    member.incarnation = fields.at("incarnation").as_string();
+    member.dataCentre = fields.at("data_centre").as_string();
+    member.isExpelled = fields.at("expelled").as_bool();
+    const auto address = Wire::Address::Parse(
+      std::string(fields.at("address").as_string()), aReason);
+    if (!address)
+      return false;
+    member.address = *address;
+  } catch (const std::exception& error) {
+    aReason.Set("the member " + key + " can't be read: " + error.what());
+    return false;
+  }
+  members_[key] = std::move(member);
+  return true;
+}
+
+const Member*
+MemberRoster::Find(const std::string& aKey) const
+{
+  const auto member = members_.find(aKey);
+  return member == members_.end() ? nullptr : &member->second;
+}
+
+std::vector<Member>
+MemberRoster::Present() const
+{
+  std::vector<Member> present;
+  for (const auto& [key, member] : members_) {
+    if (!member.isExpelled)
+      present.push_back(member);
+  }
+  return present;
+}
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/Membership.cpp
@@ -0,0 +1,272 @@
+#include <LibPooler/Membership.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pooler {
+
+namespace {
+
+/** A write of the own row that failed is repeated after this. */
+constexpr Core::Duration kRegisterDelay = std::chrono::milliseconds(200);
+
+/**
+ * A member that hasn't answered for this long is expelled; a pause of a
+ * process or a short cut is no reason yet.
+ */
+constexpr Core::Duration kSilenceLimit = std::chrono::seconds(4);
+
+/** Heartbeats come several times within this. */
+constexpr Core::Duration kHolderSilence = std::chrono::milliseconds(900);
+
+/** Clocks of two VMs run apart by less than this within a lease. */
+constexpr Core::Duration kClockMargin = std::chrono::milliseconds(200);
+
+} // namespace
+
+Membership::Membership(Core::Scheduler& aScheduler,
+                       Authority::CoordinationStore& aStore,
+                       PeerLink& aPeers,
+                       Member aSelf,
+                       Core::Duration aAuthorityLease,
+                       LogSink aLog)
+  : scheduler_(aScheduler)
+  , store_(aStore)
+  , peers_(aPeers)
+  , self_(std::move(aSelf))
+  , authorityLease_(aAuthorityLease)
+  , log_(std::move(aLog))
+{
+}
+
+Membership::~Membership()
+{
+  *alive_ = false;
+}
+
+void
+Membership::Register(std::function<void()> aDone)
+{
+  registered_ = std::move(aDone);
+  WriteSelf();
+}
+
+void
+Membership::WriteSelf()
+{
+  if (isRegistering_ || isLeaving_)
+    return;
+  isRegistering_ = true;
+  store_.Write(
+    MemberRoster::RowOf(self_),
+    [this, alive = alive_](const Authority::WriteOutcome& aOutcome) {
+      if (!*alive)
+        return;
+      isRegistering_ = false;
+      // The key is this process's own, so a row that is there already is an
+      // earlier write of its own whose answer was lost.
+      const bool isThere =
+        aOutcome.result == Authority::WriteResult::Applied ||
+        (aOutcome.result == Authority::WriteResult::Conflict &&
+         self_.version == 0);
+      if (!isThere) {
+        retry_ = scheduler_.After(kRegisterDelay, [this] { WriteSelf(); });
+        return;
+      }
+      self_.version = std::max(self_.version, aOutcome.version);
+      registeredAt_ = scheduler_.Now();
+      log_("registered", { { "member", self_.Key() } });
+      if (const auto done = std::exchange(registered_, nullptr))
+        done();
+    });
+}
+
+void
+Membership::Apply(const Authority::StoredRow& aRow)
+{
+  Core::LastReason reason;
+  if (!roster_.Apply(aRow, reason))
+    log_("member_unreadable", { { "reason", reason.Text() } });
+}
+
+void
+Membership::CheckSelf()
+{
+  if (!registeredAt_ || isLeaving_ || isRegistering_)
+    return;
+  const Member* row = roster_.Find(self_.Key());
+  const bool isListed = row != nullptr && !row->isExpelled;
+  if (isListed) {
+    self_.version = row->version;
+    return;
+  }
+  // Others go on without this process; it takes part again from now on.
+  log_("expelled", { { "member", self_.Key() } });
+  registeredAt_.reset();
+  self_.version = row != nullptr ? row->version : 0;
+  WriteSelf();
+}
+
+bool
+Membership::CoversQuestion(Core::Instant aAskedAt) const
+{
+  return registeredAt_ && aAskedAt >= *registeredAt_;
+}
+
+std::vector<Member>
+Membership::Others() const
+{
+  std::vector<Member> others;
+  for (const auto& [key, member] : roster_.All()) {
+    if (key != self_.Key())
+      others.push_back(member);
+  }
+  return others;
+}
+
+void
+Membership::TendOthers(std::optional<std::uint64_t> aNewestRecord)
+{
+  std::erase_if(contacts_, [this](const auto& aEntry) {
+    return roster_.Find(aEntry.first) == nullptr;
+  });
+  for (const Member& member : Others())
+    Tend(member, aNewestRecord);
+}
+
+void
+Membership::Tend(const Member& aMember,
+                 std::optional<std::uint64_t> aNewestRecord)
+{
+  const Core::Instant now = scheduler_.Now();
+  const std::string key = aMember.Key();
+  Contact& contact =
+    contacts_.try_emplace(key, Contact{ .answeredAt = now }).first->second;
+  if (aMember.name == self_.name) {
+    // An earlier process of this VM can't be running any more.
+    Remove(aMember);
+    return;
+  }
+  if (aMember.isExpelled) {
+    if (contact.expelledSince == Core::Instant::min())
+      contact.expelledSince = now;
+    if (now - contact.expelledSince > authorityLease_ + kClockMargin)
+      Remove(aMember);
+    return;
+  }
+  if (now - contact.answeredAt > kSilenceLimit) {
+    contact.answeredAt = now;
+    Expel(aMember, "silent");
+    return;
+  }
+  if (contact.isAsked)
+    return;
+  contact.isAsked = true;
+  peers_.SendHeartbeat(
+    aMember,
+    { self_.Key(), key, contact.clock, aNewestRecord },
+    [this, alive = alive_, key](const HeartbeatAnswer& aAnswer) {
+      if (*alive)
+        OnAnswer(key, aAnswer);
+    });
+}
+
+void
+Membership::OnAnswer(const std::string& aKey, const HeartbeatAnswer& aAnswer)
+{
+  const auto contact = contacts_.find(aKey);
+  if (contact == contacts_.end())
+    return;
+  contact->second.isAsked = false;
+  if (aAnswer.delivery == PeerDelivery::Ended) {
+    if (const Member* member = roster_.Find(aKey))
+      Remove(*member);
+    return;
+  }
+  if (aAnswer.delivery != PeerDelivery::Answered)
+    return;
+  contact->second.answeredAt = scheduler_.Now();
+  contact->second.clock = aAnswer.clock;
+  contact->second.reachedGroups = aAnswer.reachedGroups;
+}
+
+void
+Membership::Expel(Member aMember, std::string_view aReason)
+{
+  log_("member_expelled",
+       { { "member", aMember.Key() }, { "reason", aReason } });
+  aMember.isExpelled = true;
+  store_.Write(MemberRoster::RowOf(aMember),
+               [](const Authority::WriteOutcome&) {
+                 // Whether it was done shows in the rows.
+               });
+}
+
+void
+Membership::Remove(const Member& aMember)
+{
+  Contact& contact = contacts_[aMember.Key()];
+  if (contact.isAsked)
+    return;
+  contact.isAsked = true;
+  store_.Remove(
+    MemberRoster::RowOf(aMember),
+    [this, alive = alive_, key = aMember.Key()](
+      const Authority::WriteOutcome& aOutcome) {
+      if (!*alive)
+        return;
+      contacts_.erase(key);
+      log_("member_removed",
+           { { "member", key },
+             { "result",
+               Authority::kWriteResultNames.NameOf(aOutcome.result) } });
+    });
+}
+
+Membership::Opinions
+Membership::OpinionsOn(const std::string& aGroup) const
+{
+  Opinions opinions;
+  const Core::Instant now = scheduler_.Now();
+  for (const Member& member : Others()) {
+    if (member.isExpelled)
+      continue;
+    const auto contact = contacts_.find(member.Key());
+    if (contact == contacts_.end() ||
+        now - contact->second.answeredAt > kHolderSilence)
+      ++opinions.unknown;
+    else if (contact->second.reachedGroups.contains(aGroup))
+      ++opinions.reaching;
+    else
+      ++opinions.notReaching;
+  }
+  return opinions;
+}
+
+void
+Membership::OnHeartbeat(const Heartbeat& aHeartbeat)
+{
+  if (aHeartbeat.sender != self_.Key())
+    heardAt_ = scheduler_.Now();
+}
+
+bool
+Membership::HearsHolder() const
+{
+  return heardAt_ != Core::Instant::min() &&
+         scheduler_.Now() - heardAt_ < kHolderSilence;
+}
+
+void
+Membership::Leave(std::function<void()> aDone)
+{
+  isLeaving_ = true;
+  registeredAt_.reset();
+  store_.Remove(MemberRoster::RowOf(self_),
+                [done = std::move(aDone)](const Authority::WriteOutcome&) {
+                  // A row that stays is removed by the duty's holder.
+                  done();
+                });
+}
+
+} // namespace Pooler
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -7,25 +7,26 @@
 
 namespace {
 
-/** The system's own rows. */
-constexpr std::string_view kDutyKey = "duty/failover";
+/** The rows of groups; members have a prefix of their own. */
 constexpr std::string_view kGroupPrefix = "group/";
-constexpr std::string_view kMemberPrefix = "member/";
 
 /** How often leases and groups are looked at. */
 constexpr Core::Duration kTickInterval = std::chrono::milliseconds(50);
 
 /** How often the age of the newest sample is looked at. */
-constexpr Core::Duration kSampleInterval = std::chrono::milliseconds(250);
+constexpr Core::Duration kSampleInterval = std::chrono::milliseconds(200);
 
 /** The primary is asked when no answer of it is younger than this. */
-constexpr Core::Duration kSampleAge = std::chrono::milliseconds(500);
+constexpr Core::Duration kSampleAge = std::chrono::milliseconds(450);
 
 /** An answer to the question for a sample is given up after this. */
 constexpr Core::Duration kSampleTimeout = std::chrono::milliseconds(1000);
 
-/** A node that knows nothing new for this long sends its clients elsewhere. */
-constexpr Core::Duration kBlindLimit = std::chrono::milliseconds(2500);
+/** A primary that has answered within this counts as reached. */
+constexpr Core::Duration kReachedAge = std::chrono::milliseconds(700);
+
+/** A node that the store hasn't answered for this long asks a peer. */
+constexpr Core::Duration kStoreSilence = std::chrono::milliseconds(3500);
 
 bool
 StartsWith(std::string_view aText, std::string_view aPrefix)
@@ -37,22 +38,33 @@
 
 Node::Node(Core::Scheduler& aScheduler,
            NodeSettings aSettings,
-           Sql::DatabaseDialer& aDialer,
-           Authority::CoordinationStore& aStore,
-           Promoter& aPromoter,
+           NodeLinks aLinks,
            Metrics::Registry& aMetrics,
            LogSink aLog)
   : scheduler_(aScheduler)
   , settings_(std::move(aSettings))
-  , dialer_(aDialer)
-  , store_(aStore)
-  , promoter_(aPromoter)
+  , links_(aLinks)
   , metrics_(aMetrics)
   , log_(std::move(aLog))
-  , control_(aScheduler, aDialer)
-  , duty_(std::string(kDutyKey),
-          settings_.name + '#' + settings_.incarnation,
-          settings_.duty)
+  , memberKey_(settings_.self.Key())
+  , membership_(aScheduler,
+                aLinks.store,
+                aLinks.peers,
+                settings_.self,
+                settings_.authorityLease.fenced,
+                log_)
+  , duty_(
+      aScheduler,
+      settings_.duty,
+      aLinks.dialer,
+      aLinks.store,
+      aLinks.promoter,
+      aLinks.peers,
+      membership_,
+      [this](const Authority::GroupRecord& aRecord, Core::Instant aAskedAt) {
+        Observe(aRecord, aAskedAt);
+      },
+      log_)
   , tick_(aScheduler.Every(kTickInterval, [this] { Tick(); }))
   , sampler_(aScheduler.Every(kSampleInterval, [this] { KeepSamplesFresh(); }))
 {
@@ -61,9 +73,9 @@
 Node::~Node() = default;
 
 void
-Node::Log(std::string_view aWhat, boost::json::object aFacts)
+Node::Register(std::function<void()> aDone)
 {
-  log_(aWhat, std::move(aFacts));
+  membership_.Register(std::move(aDone));
 }
 
 void
@@ -71,14 +83,14 @@
 {
   if (hasConfiguration_ && aConfiguration.version <= configuration_.version)
     return;
-  Log("configuration_applied",
-      { { "version", aConfiguration.version },
-        { "before", configuration_.version },
-        { "routes", aConfiguration.routes.size() } });
+  log_("configuration_applied",
+       { { "version", aConfiguration.version },
+         { "before", configuration_.version },
+         { "routes", aConfiguration.routes.size() } });
   configuration_ = std::move(aConfiguration);
   hasConfiguration_ = true;
   for (const auto& [group, limit] : configuration_.maxConnections)
-    FindOrAddGroup(group);
+    RouterOf(group);
   ShareDatabases();
   ShareConnections();
 }
@@ -92,123 +104,89 @@
     if (!isNew && before->second.isLeaving == database.isLeaving &&
         before->second.startedAt == database.startedAt)
       continue;
-    Log("database_listed",
-        { { "database", id },
-          { "group", database.group },
-          { "new", isNew },
-          { "leaving", database.isLeaving } });
+    log_("database_listed",
+         { { "database", id },
+           { "group", database.group },
+           { "new", isNew },
+           { "leaving", database.isLeaving } });
   }
   for (const auto& [id, database] : databases_) {
     if (!aDatabases.contains(id))
-      Log("database_gone", { { "database", id }, { "group", database.group } });
+      log_("database_gone",
+           { { "database", id }, { "group", database.group } });
   }
   databases_ = std::move(aDatabases);
   hasDatabases_ = true;
-  control_.SetDatabases(databases_);
+  duty_.SetDatabases(databases_);
   ShareDatabases();
 }
 
-Node::Group&
-Node::FindOrAddGroup(const std::string& aName)
+GroupRouter&
+Node::RouterOf(const std::string& aName)
 {
-  Group& group = groups_[aName];
-  if (group.router != nullptr)
-    return group;
-  group.router = std::make_unique<GroupRouter>(scheduler_,
-                                               dialer_,
-                                               aName,
-                                               settings_.dataCentre,
-                                               settings_.authorityLease);
-  Authority::SupervisorPort& port = *this;
-  group.supervisor = std::make_unique<Authority::GroupSupervisor>(
-    scheduler_, port, aName, settings_.supervisor);
-  return group;
+  auto& router = routers_[aName];
+  if (router == nullptr)
+    router = std::make_unique<GroupRouter>(scheduler_,
+                                           links_.dialer,
+                                           aName,
+                                           settings_.self.dataCentre,
+                                           settings_.authorityLease);
+  return *router;
 }
 
 void
 Node::ShareDatabases()
 {
-  for (auto& [name, group] : groups_) {
+  for (auto& [name, router] : routers_) {
     std::vector<Database> databases;
-    std::vector<Authority::SupervisedDatabase> supervised;
     for (const auto& [id, database] : databases_) {
-      if (database.group != name)
-        continue;
-      databases.push_back(database);
-      supervised.push_back({ id, database.dataCentre, database.isLeaving });
+      if (database.group == name)
+        databases.push_back(database);
     }
-    group.router->SetDatabases(databases);
-    group.supervisor->SetDatabases(std::move(supervised));
+    router->SetDatabases(databases);
   }
 }
 
 void
 Node::ShareConnections()
 {
-  const auto nodes = static_cast<double>(std::max<std::size_t>(
-    members_.size(), 1));
-  for (auto& [name, group] : groups_) {
+  const std::size_t present = membership_.Roster().Present().size();
+  const auto nodes = static_cast<double>(std::max<std::size_t>(present, 1));
+  for (auto& [name, router] : routers_) {
     const auto limit = configuration_.maxConnections.find(name);
     if (limit == configuration_.maxConnections.end())
       continue;
     const double share = limit->second * settings_.connectionShare / nodes;
-    group.router->SetConnectionLimit(static_cast<int>(share));
+    router->SetConnectionLimit(static_cast<int>(share));
   }
 }
 
 void
-Node::ApplyAllRows(const std::vector<Authority::StoredRow>& aRows,
-                   Core::Instant aAskedAt)
+Node::ApplyOwnRows(const OwnRows& aRows)
 {
-  members_.clear();
-  bool hasDuty = false;
-  for (const Authority::StoredRow& row : aRows) {
-    hasDuty = hasDuty || row.key == kDutyKey;
-    ApplyRow(row, aAskedAt);
-  }
-  if (!hasDuty)
-    duty_.Observe({ std::string(kDutyKey), "", 0 }, scheduler_.Now());
+  if (aRows.isWhole)
+    membership_.BeginReload();
+  const bool mayTrust = membership_.CoversQuestion(aRows.askedAt);
+  const Core::Instant askedAt = mayTrust ? aRows.askedAt : Authority::kNever;
+  for (const Authority::StoredRow& row : aRows.rows)
+    ApplyRow(row, askedAt);
+  membership_.CheckSelf();
   hasRows_ = true;
-  renewedAt_ = std::max(renewedAt_, aAskedAt);
-  RegisterMember();
-  ShareConnections();
-}
-
-void
-Node::ApplyChangedRows(const std::vector<Authority::StoredRow>& aRows,
-                       Core::Instant aAskedAt)
-{
-  for (const Authority::StoredRow& row : aRows)
-    ApplyRow(row, aAskedAt);
-  renewedAt_ = std::max(renewedAt_, aAskedAt);
-  for (auto& [name, group] : groups_)
-    group.router->RenewAuthority(aAskedAt);
-  if (!aRows.empty())
+  storeAskedAt_ = std::max(storeAskedAt_, aRows.askedAt);
+  for (auto& [name, router] : routers_)
+    router->RenewAuthority(askedAt);
+  duty_.OnRowsApplied(aRows.version);
+  if (!aRows.rows.empty())
     ShareConnections();
 }
 
 void
 Node::ApplyRow(const Authority::StoredRow& aRow, Core::Instant aAskedAt)
 {
-  if (aRow.key == kDutyKey) {
-    const std::string before = duty_.Holder();
-    duty_.Observe(aRow, scheduler_.Now());
-    if (duty_.Holder() != before)
-      Log("duty_holder",
-          { { "holder", duty_.Holder() }, { "version", aRow.version } });
-    return;
-  }
-  if (StartsWith(aRow.key, kGroupPrefix)) {
+  if (StartsWith(aRow.key, kGroupPrefix))
     ApplyGroupRow(aRow, aAskedAt);
-    return;
-  }
-  if (!StartsWith(aRow.key, kMemberPrefix))
-    return;
-  const std::string member = aRow.key.substr(kMemberPrefix.size());
-  if (aRow.value.empty())
-    members_.erase(member);
-  else
-    members_.insert(member);
+  else if (StartsWith(aRow.key, MemberRoster::kKeyPrefix))
+    membership_.Apply(aRow);
 }
 
 void
@@ -218,98 +196,169 @@
   Core::LastReason reason;
   auto record = Authority::GroupRecord::Parse(name, aRow.value, reason);
   if (!record) {
-    Log("group_record_unreadable", { { "reason", reason.Text() } });
+    log_("group_record_unreadable", { { "reason", reason.Text() } });
     return;
   }
   record->version = aRow.version;
-  Group& group = FindOrAddGroup(name);
-  const auto& known = group.router->Authority().Record();
-  if (!known || known->version < record->version)
-    Log("group_record",
-        { { "group", name },
-          { "primary", record->primary },
-          { "term", record->term },
-          { "changing", record->change.has_value() },
-          { "version", record->version } });
-  group.router->ObserveRecord(*record, aAskedAt);
-  group.supervisor->SetRecord(group.router->Authority().Record());
+  Observe(*record, aAskedAt);
+}
+
+void
+Node::Observe(const Authority::GroupRecord& aRecord, Core::Instant aAskedAt)
+{
+  GroupRouter& router = RouterOf(aRecord.group);
+  const auto& known = router.Authority().Record();
+  if (!known || known->version < aRecord.version)
+    log_("group_record",
+         { { "group", aRecord.group },
+           { "primary", aRecord.primary },
+           { "term", aRecord.term },
+           { "changing", aRecord.change.has_value() },
+           { "version", aRecord.version } });
+  router.ObserveRecord(aRecord, aAskedAt);
+  duty_.SetRecord(*router.Authority().Record());
 }
 
 bool
 Node::IsReady() const
 {
-  return hasConfiguration_ && hasDatabases_ && hasRows_ && !isStopping_ &&
-         scheduler_.Now() - renewedAt_ < kBlindLimit;
+  if (!hasConfiguration_ || !hasDatabases_ || !hasRows_ || isStopping_)
+    return false;
+  // A node that may use no primary at all is cut off from everybody.
+  return std::any_of(
+    routers_.begin(), routers_.end(), [this](const auto& aEntry) {
+      const auto& record = aEntry.second->Authority().Record();
+      return (record && record->change) ||
+             aEntry.second->Authority().Holds(scheduler_.Now());
+    });
 }
 
 void
-Node::RegisterMember()
+Node::BeginStop()
 {
-  if (members_.contains(settings_.name) || isRegistering_ || isStopping_)
-    return;
-  isRegistering_ = true;
-  store_.Write({ std::string(kMemberPrefix) + settings_.name,
-                 settings_.incarnation,
-                 0 },
-               [this](const Authority::WriteOutcome& aOutcome) {
-                 isRegistering_ = false;
-                 if (aOutcome.result == Authority::WriteResult::Applied)
-                   members_.insert(settings_.name);
-                 ShareConnections();
-               });
+  isStopping_ = true;
+  duty_.Release();
 }
 
 void
-Node::BeginStop()
+Node::Leave(std::function<void()> aDone)
 {
-  if (isStopping_)
-    return;
-  isStopping_ = true;
-  const auto release = duty_.Release(scheduler_.Now());
-  if (!release)
-    return;
-  store_.Write(*release, [this](const Authority::WriteOutcome& aOutcome) {
-    Log("duty_released",
-        { { "result",
-            Authority::kWriteResultNames.NameOf(aOutcome.result) } });
-  });
+  membership_.Leave(std::move(aDone));
 }
 
 void
 Node::Tick()
 {
-  WriteDuty();
-  for (auto& [name, group] : groups_)
-    group.supervisor->Tick();
+  duty_.Tick();
+  if (duty_.KnowsAllChanges() && membership_.CoversQuestion(scheduler_.Now())) {
+    for (auto& [name, router] : routers_)
+      router->RenewAuthority(scheduler_.Now());
+  }
+  if (scheduler_.Now() - kStoreSilence > storeAskedAt_ && hasRows_)
+    AskPeer();
 }
 
 void
-Node::WriteDuty()
+Node::AskPeer()
 {
-  // A node without the configuration can do nothing with the duty.
-  if (!hasConfiguration_ || !hasDatabases_)
+  const std::vector<Member> others = membership_.Others();
+  if (isAskingPeer_ || others.empty())
     return;
-  const Core::Instant now = scheduler_.Now();
-  const auto row = duty_.NextWrite(now);
-  if (!row)
+  isAskingPeer_ = true;
+  const Core::Instant askedAt = scheduler_.Now();
+  links_.peers.FetchRecords(
+    others[nextPeer_++ % others.size()],
+    memberKey_,
+    [this, askedAt](const std::vector<RelayedRecord>& aRecords) {
+      isAskingPeer_ = false;
+      OnRelayed(aRecords, askedAt);
+    });
+}
+
+void
+Node::OnRelayed(const std::vector<RelayedRecord>& aRecords,
+                Core::Instant aAskedAt)
+{
+  for (const RelayedRecord& relayed : aRecords) {
+    // The peer answered after it was asked, so its question is at least as
+    // long ago as its age before that.
+    Core::Instant askedAt = Authority::kNever;
+    if (relayed.age && membership_.CoversQuestion(aAskedAt - *relayed.age))
+      askedAt = aAskedAt - *relayed.age;
+    Observe(relayed.record, askedAt);
+  }
+}
+
+void
+Node::RenewByHeartbeat(const Heartbeat& aHeartbeat)
+{
+  const bool isMeant = aHeartbeat.receiver == memberKey_;
+  if (!isMeant || !aHeartbeat.echo || !aHeartbeat.newestRecord ||
+      !membership_.CoversQuestion(*aHeartbeat.echo))
     return;
-  store_.Write(*row, [this, now](const Authority::WriteOutcome& aOutcome) {
-    const std::uint64_t before = duty_.Token();
-    duty_.OnWritten(aOutcome, now);
-    if (duty_.Token() != before)
-      Log("duty_acquired", { { "token", duty_.Token() } });
-  });
+  std::uint64_t newest = 0;
+  for (const auto& [name, router] : routers_) {
+    if (const auto& record = router->Authority().Record())
+      newest = std::max(newest, record->version);
+  }
+  // The holder of the duty knows of a record that this node doesn't know.
+  if (newest != *aHeartbeat.newestRecord)
+    return;
+  for (auto& [name, router] : routers_)
+    router->RenewAuthority(*aHeartbeat.echo);
+}
+
+HeartbeatAnswer
+Node::OnHeartbeat(const Heartbeat& aHeartbeat)
+{
+  membership_.OnHeartbeat(aHeartbeat);
+  RenewByHeartbeat(aHeartbeat);
+  HeartbeatAnswer answer;
+  const Core::Instant now = scheduler_.Now();
+  answer.delivery = PeerDelivery::Answered;
+  answer.clock = now;
+  for (const auto& [name, router] : routers_) {
+    const auto newest = router->Samples().Newest();
+    if (newest && now - *newest < kReachedAge)
+      answer.reachedGroups.insert(name);
+  }
+  return answer;
+}
+
+void
+Node::OnRecord(const Authority::GroupRecord& aRecord)
+{
+  Observe(aRecord, Authority::kNever);
+}
+
+std::vector<RelayedRecord>
+Node::RecordsFor(const std::string& aMemberKey) const
+{
+  const Member* asker = membership_.Roster().Find(aMemberKey);
+  const bool takesPart = asker != nullptr && !asker->isExpelled;
+  const Core::Instant now = scheduler_.Now();
+  std::vector<RelayedRecord> records;
+  for (const auto& [name, router] : routers_) {
+    const Authority::PrimaryAuthority& authority = router->Authority();
+    if (!authority.Record())
+      continue;
+    RelayedRecord relayed{ *authority.Record(), std::nullopt };
+    if (takesPart && authority.Holds(now))
+      relayed.age = now - authority.AskedAt();
+    records.push_back(std::move(relayed));
+  }
+  return records;
 }
 
 void
 Node::KeepSamplesFresh()
 {
   const Core::Instant now = scheduler_.Now();
-  for (auto& [name, group] : groups_) {
-    const auto newest = group.router->Samples().Newest();
+  for (auto& [name, router] : routers_) {
+    const auto newest = router->Samples().Newest();
     const bool isFresh = newest && now - *newest < kSampleAge;
     if (!isFresh && !sampling_.contains(name))
-      SampleGroup(*group.router);
+      SampleGroup(*router);
   }
 }
 
@@ -321,27 +370,27 @@
     return;
   sampling_.insert(aRouter.Name());
   const auto finish = [this, name = aRouter.Name()] { sampling_.erase(name); };
-  const Core::Instant now = scheduler_.Now();
   choice->pool->Acquire(
-    now,
+    scheduler_.Now(),
     {},
     [this, &aRouter, finish, choice = *choice](
       const PooledConnectionHandle& aConnection, PoolRefusal) {
-      const Core::Instant sentAt = scheduler_.Now();
       if (aConnection == nullptr) {
         finish();
         return;
       }
-      const bool holds =
-        aRouter.Authority().HoldsFor(choice.term, sentAt);
+      const Core::Instant sentAt = scheduler_.Now();
+      const bool holds = aRouter.Authority().HoldsFor(choice.term, sentAt);
       choice.pool->RunAndRelease(
         aConnection,
         { .kind = Sql::CommandKind::Status },
         kSampleTimeout,
-        [&aRouter, finish, sentAt, holds](const Sql::DatabaseReply& aReply) {
+        [this, &aRouter, finish, sentAt, holds](
+          const Sql::DatabaseReply& aReply) {
           finish();
-          if (holds && aReply.IsSuccess() && aReply.position)
-            aRouter.AddSample(sentAt, *aReply.position);
+          const auto status = links_.dialer.ReadStatus(aReply);
+          if (holds && status && status->isPrimary)
+            aRouter.AddSample(sentAt, status->received);
         });
     });
 }
@@ -356,8 +405,8 @@
 GroupRouter*
 Node::FindRouter(const std::string& aGroup)
 {
-  const auto group = groups_.find(aGroup);
-  return group == groups_.end() ? nullptr : group->second.router.get();
+  const auto router = routers_.find(aGroup);
+  return router == routers_.end() ? nullptr : router->second.get();
 }
 
 Core::Duration
@@ -380,34 +429,34 @@
   const bool isLate = aReport.latency > aReport.route->targetLatency;
   if (!result.error && !isLate && result.attempts <= 1)
     return;
-  Log("statement",
-      { { "request", aReport.statement.requestId },
-        { "kind", Sql::kStatementKindNames.NameOf(aReport.statement.kind) },
-        { "route", aReport.route->name },
-        { "group", aReport.route->group },
-        { "database", result.database },
-        { "in_transaction", aReport.isInTransaction },
-        { "attempts", result.attempts },
-        { "sent", result.wasSent },
-        { "ms", Core::ToMilliseconds(aReport.latency) },
-        { "configuration", configuration_.version },
-        { "outcome", outcome },
-        { "reason", result.error ? result.error->text : "" } });
+  log_("statement",
+       { { "request", aReport.statement.requestId },
+         { "kind", Sql::kStatementKindNames.NameOf(aReport.statement.kind) },
+         { "route", aReport.route->name },
+         { "group", aReport.route->group },
+         { "database", result.database },
+         { "in_transaction", aReport.isInTransaction },
+         { "attempts", result.attempts },
+         { "sent", result.wasSent },
+         { "ms", Core::ToMilliseconds(aReport.latency) },
+         { "configuration", configuration_.version },
+         { "outcome", outcome },
+         { "reason", result.error ? result.error->text : "" } });
 }
 
 void
 Node::UpdateGauges()
 {
-  metrics_.Set("members", static_cast<std::int64_t>(members_.size()));
+  metrics_.Set("members", static_cast<std::int64_t>(
+                            membership_.Roster().Present().size()));
   metrics_.Set("configuration_version",
                static_cast<std::int64_t>(configuration_.version));
-  metrics_.Set("holds_duty", HoldsDuty(Core::Duration::zero()) ? 1 : 0);
-  for (const auto& [name, group] : groups_) {
+  metrics_.Set("holds_duty", duty_.Holds() ? 1 : 0);
+  for (const auto& [name, router] : routers_) {
     const std::string label = "{group=\"" + name + "\"}";
-    metrics_.Set(
-      "authority" + label,
-      group.router->Authority().Holds(scheduler_.Now()) ? 1 : 0);
-    for (const auto& [id, pool] : group.router->Pools()) {
+    metrics_.Set("authority" + label,
+                 router->Authority().Holds(scheduler_.Now()) ? 1 : 0);
+    for (const auto& [id, pool] : router->Pools()) {
       const std::string of = "{database=\"" + id + "\"}";
       metrics_.Set("connections_open" + of, pool->Open());
       metrics_.Set("connections_used" + of, pool->InUse());
@@ -416,66 +465,4 @@
   }
 }
 
-bool
-Node::HoldsDuty(Core::Duration aMargin) const
-{
-  return duty_.HoldsFor(scheduler_.Now(), aMargin);
-}
-
-void
-Node::Probe(const std::string& aId, Core::Duration aTimeout, ProbeHandler aDone)
-{
-  control_.Ask(
-    aId, { .kind = Sql::CommandKind::Status }, aTimeout, std::move(aDone));
-}
-
-void
-Node::StepDown(const std::string& aId,
-               Session::Term aTerm,
-               Core::Duration aTimeout,
-               ProbeHandler aDone)
-{
-  Sql::DatabaseCommand command;
-  command.kind = Sql::CommandKind::StepDown;
-  command.term = aTerm;
-  control_.Ask(aId, command, aTimeout, std::move(aDone));
-}
-
-void
-Node::Promote(const std::string& aGroup,
-              const std::string& aId,
-              Core::Duration aTimeout,
-              std::function<void(Authority::PromoteResult)> aDone)
-{
-  promoter_.Promote(
-    { aGroup, aId, settings_.name, duty_.Token(), aTimeout }, std::move(aDone));
-}
-
-void
-Node::WriteRecord(const Authority::GroupRecord& aRecord,
-                  std::function<void(Authority::WriteOutcome)> aDone)
-{
-  const Core::Instant askedAt = scheduler_.Now();
-  store_.Write(
-    { std::string(kGroupPrefix) + aRecord.group,
-      aRecord.ToText(),
-      aRecord.version },
-    [this, record = aRecord, askedAt, done = std::move(aDone)](
-      const Authority::WriteOutcome& aOutcome) {
-      if (aOutcome.result == Authority::WriteResult::Applied) {
-        // What was written is known as surely as what was read.
-        Authority::GroupRecord written = record;
-        written.version = aOutcome.version;
-        FindOrAddGroup(record.group).router->ObserveRecord(written, askedAt);
-      }
-      done(aOutcome);
-    });
-}
-
-void
-Node::RevokeEverywhere(const Authority::GroupRecord&, std::function<void()>)
-{
-  // Other nodes learn of the change from the store; the lease is waited out.
-}
-
 } // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/RecordSpread.cpp
@@ -0,0 +1,81 @@
+#include <LibPooler/RecordSpread.h>
+
+#include <utility>
+
+namespace Pooler {
+
+namespace {
+
+/** A member that gave no answer is told again after this. */
+constexpr Core::Duration kRepeatDelay = std::chrono::milliseconds(150);
+
+} // namespace
+
+RecordSpread::RecordSpread(Core::Scheduler& aScheduler,
+                           PeerLink& aPeers,
+                           std::vector<Member> aMembers,
+                           Authority::GroupRecord aRecord,
+                           std::function<void()> aDone)
+  : scheduler_(aScheduler)
+  , peers_(aPeers)
+  , record_(std::move(aRecord))
+  , done_(std::move(aDone))
+{
+  for (Member& member : aMembers)
+    missing_.emplace(member.Key(), std::move(member));
+}
+
+RecordSpread::~RecordSpread()
+{
+  *alive_ = false;
+}
+
+void
+RecordSpread::Start()
+{
+  if (missing_.empty()) {
+    Finish();
+    return;
+  }
+  std::vector<std::string> keys;
+  for (const auto& [key, member] : missing_)
+    keys.push_back(key);
+  for (const std::string& key : keys)
+    Send(key);
+}
+
+void
+RecordSpread::Send(const std::string& aKey)
+{
+  peers_.SendRecord(missing_.at(aKey),
+                    record_,
+                    [this, alive = alive_, aKey](PeerDelivery aDelivery) {
+                      if (*alive)
+                        OnDelivery(aKey, aDelivery);
+                    });
+}
+
+void
+RecordSpread::OnDelivery(const std::string& aKey, PeerDelivery aDelivery)
+{
+  if (aDelivery == PeerDelivery::Silent) {
+    scheduler_.DeferFor(kRepeatDelay, [this, alive = alive_, aKey] {
+      if (*alive)
+        Send(aKey);
+    });
+    return;
+  }
+  missing_.erase(aKey);
+  if (missing_.empty())
+    Finish();
+}
+
+void
+RecordSpread::Finish()
+{
+  // What follows may destroy this spread.
+  const std::function<void()> done = done_;
+  done();
+}
+
+} // namespace Pooler
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -80,6 +80,13 @@
   return IsInTransaction() && context_.transaction->connection == nullptr;
 }
 
+bool
+StatementRun::IsFencedRead() const
+{
+  return !IsInTransaction() && choice_.isPrimary && choice_.needsFencedRead &&
+         !IsWrite();
+}
+
 bool
 StatementRun::IsCommit() const
 {
@@ -209,10 +216,12 @@
   auto commands =
     isRested ? connection_->state.PrepareAnew(context_.values, Shape())
              : connection_->state.Prepare(context_.values, Shape());
-  if (IsFirstInTransaction()) {
-    const bool onlyReads = context_.transaction->isReadOnly;
-    commands.push_back({ .kind = onlyReads ? Sql::CommandKind::BeginReadOnly
-                                           : Sql::CommandKind::Begin });
+  if (IsFirstInTransaction() || IsFencedRead()) {
+    // At a primary even a transaction that only reads is opened for writing,
+    // so that the database ends it when it steps down.
+    commands.push_back({ .kind = choice_.isPrimary
+                                   ? Sql::CommandKind::Begin
+                                   : Sql::CommandKind::BeginReadOnly });
     commands.back().atLeast = choice_.floor;
   }
   pendingPreparations_ = static_cast<int>(commands.size());
@@ -317,7 +326,9 @@
   if (!aReply.position)
     return;
   choice_.pool->RecordPosition(*aReply.position);
-  if (choice_.isPrimary && aReply.position->term <= choice_.term)
+  const bool isProof = IsInTransaction() || IsWrite() || IsFencedRead() ||
+                       !choice_.needsFencedRead;
+  if (choice_.isPrimary && isProof)
     router_.AddSample(sentAt_, *aReply.position);
 }
 
@@ -333,10 +344,31 @@
     OnError(aReply);
     return;
   }
+  if (choice_.isPrimary && aReply.position &&
+      aReply.position->term > choice_.term && !MayHaveWritten()) {
+    // It follows another primary already; what it read may be old.
+    OnFormerPrimary();
+    return;
+  }
   RecordAnswer(aReply);
   OnSuccess(std::move(aReply));
 }
 
+void
+StatementRun::OnFormerPrimary()
+{
+  if (IsInTransaction()) {
+    RollBack();
+    Fail(Sql::ErrorCode::RolledBack, "the primary has been replaced");
+    return;
+  }
+  DropConnection();
+  if (result_.attempts >= kMaxAttempts)
+    Fail(Sql::ErrorCode::Busy, "the primary has been replaced");
+  else
+    TryElsewhere(false, kReadOnlyDelay);
+}
+
 void
 StatementRun::OnSuccess(Sql::DatabaseReply aReply)
 {
@@ -355,7 +387,9 @@
   const auto expected = IsInTransaction() && !endsTransaction
                           ? Sql::TransactionState::Open
                           : Sql::TransactionState::Idle;
-  if (!IsInTransaction() || endsTransaction)
+  if (IsFencedRead())
+    choice_.pool->RollBackAndRelease(std::exchange(connection_, nullptr));
+  else if (!IsInTransaction() || endsTransaction)
     ReturnConnection(aReply.state == expected);
   Finish();
 }
--- /dev/null
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <LibAuthority/DutyLease.h>
+#include <LibAuthority/GroupSupervisor.h>
+#include <LibPooler/ControlLinks.h>
+#include <LibPooler/Membership.h>
+#include <LibPooler/RecordSpread.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Pooler {
+
+/** The platform's call that makes a database the primary of its group. */
+class Promoter
+{
+public:
+  virtual ~Promoter() = default;
+
+  struct Call
+  {
+    std::string group;
+    std::string database;
+    std::string holder;
+    std::uint64_t fencingToken = 0;
+    Core::Duration timeout{ 0 };
+  };
+  /** aDone runs once, never from inside Promote. */
+  virtual void Promote(
+    const Call& aCall,
+    std::function<void(Authority::PromoteResult)> aDone) = 0;
+};
+
+/** This node's part in the failover duty. */
+class FailoverDuty final : public Authority::SupervisorPort
+{
+public:
+  struct Settings
+  {
+    Authority::DutyLeaseTiming lease;
+    Authority::SupervisorTiming supervisor;
+  };
+  using RecordSink =
+    std::function<void(const Authority::GroupRecord&, Core::Instant)>;
+
+  /** aOnRecord hears of records that this node has written. */
+  FailoverDuty(Core::Scheduler& aScheduler,
+               Settings aSettings,
+               Sql::DatabaseDialer& aDialer,
+               Authority::CoordinationStore& aStore,
+               Promoter& aPromoter,
+               PeerLink& aPeers,
+               Membership& aMembership,
+               RecordSink aOnRecord,
+               LogSink aLog);
+  ~FailoverDuty() override;
+
+  void SetDatabases(const DatabaseList& aDatabases);
+  void SetRecord(const Authority::GroupRecord& aRecord);
+  /** The rows up to aVersion have been applied. */
+  void OnRowsApplied(std::uint64_t aVersion);
+  void NotePrimaryAlive(const std::string& aGroup);
+
+  /** Renews or takes the duty, and acts on it. */
+  void Tick();
+  /** Gives the duty up for good. */
+  void Release();
+  bool Holds() const { return HoldsDuty(Core::Duration::zero()); }
+
+  /**
+   * True when nobody else can begin a change and this node has seen all that
+   * former holders of the duty have begun.
+   */
+  bool KnowsAllChanges() const;
+
+private:
+  /** The members who are told of a record that begins a change. */
+  struct Revocation
+  {
+    std::uint64_t recordVersion = 0;
+    std::function<void()> done;
+    std::unique_ptr<RecordSpread> spread;
+    Authority::GroupRecord record;
+  };
+
+  void WriteLease();
+  void ReadLease();
+  void StartRevocation(Revocation& aRevocation);
+  Authority::GroupSupervisor& SupervisorOf(const std::string& aGroup);
+  void ShareDatabases();
+
+  bool HoldsDuty(Core::Duration aMargin) const override;
+  bool IsLostToOthers(const std::string& aGroup,
+                      Core::Duration aSilence) const override;
+  void Probe(const std::string& aId,
+             Core::Duration aTimeout,
+             ProbeHandler aDone) override;
+  void StepDown(const std::string& aId,
+                Session::Term aTerm,
+                Core::Duration aTimeout,
+                ProbeHandler aDone) override;
+  void Promote(const std::string& aGroup,
+               const std::string& aId,
+               Core::Duration aTimeout,
+               std::function<void(Authority::PromoteResult)> aDone) override;
+  void WriteRecord(
+    const Authority::GroupRecord& aRecord,
+    std::function<void(Authority::WriteOutcome)> aDone) override;
+  void RevokeEverywhere(const Authority::GroupRecord& aRecord,
+                        std::function<void()> aDone) override;
+  void Log(std::string_view aWhat, boost::json::object aFacts) override;
+
+  Core::Scheduler& scheduler_;
+  Settings settings_;
+  Authority::CoordinationStore& store_;
+  Promoter& promoter_;
+  PeerLink& peers_;
+  Membership& membership_;
+  RecordSink onRecord_;
+  LogSink log_;
+  ControlLinks control_;
+  Authority::DutyLease lease_;
+  DatabaseList databases_;
+  std::map<std::string, std::unique_ptr<Authority::GroupSupervisor>>
+    supervisors_;
+  std::map<std::string, Revocation> revocations_;
+  std::map<std::string, std::unique_ptr<RecordSpread>> announcements_;
+  std::uint64_t appliedVersion_ = 0;
+  std::uint64_t newestRecord_ = 0;
+  bool isReadingLease_ = false;
+  bool wasHolding_ = false;
+  Core::Instant nextRead_ = Core::Instant::min();
+  Core::Instant nextTending_ = Core::Instant::min();
+};
+
+} // namespace Pooler
--- a/Libraries/LibPooler/include/LibPooler/GroupRouter.h
+++ b/Libraries/LibPooler/include/LibPooler/GroupRouter.h
@@ -34,6 +34,11 @@
   bool isPrimary = false;
   /** The primary's term by the group's record. */
   Session::Term term = 0;
+  /**
+   * The primary may have stepped down, so that a read must run in a
+   * transaction that may write, which the database then refuses.
+   */
+  bool needsFencedRead = false;
   /** What the database's log must hold. */
   std::optional<Session::LogPosition> floor;
 };
@@ -46,7 +51,7 @@
               Sql::DatabaseDialer& aDialer,
               std::string aName,
               std::string aDataCentre,
-              Core::Duration aAuthorityLease);
+              Authority::AuthorityLease aLease);
 
   void SetDatabases(const std::vector<Database>& aDatabases);
   void SetConnectionLimit(int aLimit);
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -85,6 +85,8 @@
     Sent,
   };
 
+  /** A single read runs in a transaction of our own, to be rolled back. */
+  bool IsFencedRead() const;
   bool IsFirstInTransaction() const;
   bool IsInTransaction() const;
   bool IsCommit() const;
@@ -105,6 +107,7 @@
   void OnLost();
   void OnSuccess(Sql::DatabaseReply aReply);
   void OnError(const Sql::DatabaseReply& aReply);
+  void OnFormerPrimary();
   void OnErrorInTransaction(const Sql::DatabaseReply& aReply);
   void RollBack();
   void RecordAnswer(const Sql::DatabaseReply& aReply);
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -20,29 +20,48 @@
 
 constexpr int kIncarnationDigits = 12;
 
+/** The rest is left to nodes that join and to connections for questions. */
+constexpr double kConnectionShare = 0.85;
+
+/** Longer than two clocks drift apart during a lease of authority. */
+constexpr Core::Duration kClockMargin = std::chrono::milliseconds(200);
+
+Authority::SupervisorTiming
+ToSupervisorTiming(const Authority::AuthorityLease& aAuthorityLease)
+{
+  using std::chrono::milliseconds;
+  Authority::SupervisorTiming timing;
+  timing.authorityLease = aAuthorityLease;
+  timing.clockMargin = kClockMargin;
+  timing.probeInterval = milliseconds(250);
+  timing.probeTimeout = kProbeTimeout;
+  timing.silenceLimit = milliseconds(900);
+  timing.choiceTimeout = milliseconds(400);
+  timing.promoteTimeout = kPromoteTimeout;
+  timing.promotionPatience = milliseconds(3000);
+  return timing;
+}
+
 Pooler::NodeSettings
 ToNodeSettings(const Settings::ProcessSettings& aSettings)
 {
   using std::chrono::milliseconds;
   Pooler::NodeSettings result;
-  result.name = aSettings.Text("node.name");
-  result.dataCentre = aSettings.Text("node.data_centre");
-  result.incarnation = Core::Random::FromSystem().Hex(kIncarnationDigits);
-  result.authorityLease = milliseconds(aSettings.Integer("authority.lease_ms"));
-  result.duty.duration = milliseconds(aSettings.Integer("duty.lease_ms"));
+  result.self.name = aSettings.Text("node.name");
+  result.self.dataCentre = aSettings.Text("node.data_centre");
+  result.self.incarnation = Core::Random::FromSystem().Hex(kIncarnationDigits);
+  result.self.address = aSettings.Address("listen.peers");
+  result.authorityLease.fenced =
+    milliseconds(aSettings.Integer("authority.lease_ms"));
+  result.authorityLease.plainReads =
+    milliseconds(aSettings.Integer("authority.read_lease_ms"));
+  result.duty.lease.duration = milliseconds(aSettings.Integer("duty.lease_ms"));
   // The holder stops early enough for a call that is under way to be given up,
   // and renews often enough to lose two renewals.
-  result.duty.safety = result.duty.duration / 8;
-  result.duty.renewal = result.duty.duration / 4;
-  result.supervisor.authorityLease = result.authorityLease;
-  result.supervisor.clockMargin = milliseconds(50);
-  result.supervisor.probeInterval = milliseconds(250);
-  result.supervisor.probeTimeout = kProbeTimeout;
-  result.supervisor.silenceLimit = milliseconds(900);
-  result.supervisor.choiceTimeout = milliseconds(400);
-  result.supervisor.promoteTimeout = kPromoteTimeout;
-  result.supervisor.promotionPatience = milliseconds(3000);
-  result.connectionShare = 0.85;
+  result.duty.lease.safety = result.duty.lease.duration / 8;
+  result.duty.lease.renewal = result.duty.lease.duration / 4;
+  result.duty.supervisor = ToSupervisorTiming(result.authorityLease);
+  result.connectionShare = kConnectionShare;
   return result;
 }
 
@@ -55,18 +74,15 @@
   , dialer_(aLoop)
   , store_(aLoop, aSettings.Address("platform.store"), metrics_)
   , promoter_(aLoop, aSettings.Address("platform.promotions"))
+  , peerClient_(aLoop)
   , node_(aLoop,
           ToNodeSettings(aSettings),
-          dialer_,
-          store_,
-          promoter_,
+          { dialer_, store_, promoter_, peerClient_ },
           metrics_,
           Core::LogChange)
-  , feeds_(aLoop,
-           store_,
-           node_,
-           std::chrono::milliseconds(aSettings.Integer("authority.lease_ms")))
+  , feeds_(aLoop, store_, node_)
   , door_(aLoop, node_)
+  , peerServer_(aLoop, node_)
   , readiness_(aLoop)
   , metricsServer_(aLoop)
 {
@@ -111,7 +127,8 @@
 bool
 NodeServer::Start(Core::LastReason& aReason)
 {
-  if (!door_.Listen(settings_.Address("listen.clients"), aReason) ||
+  if (!peerServer_.Listen(settings_.Address("listen.peers"), aReason) ||
+      !door_.Listen(settings_.Address("listen.clients"), aReason) ||
       !Listen(readiness_, settings_.Address("listen.readiness"), aReason) ||
       !Listen(metricsServer_, settings_.Address("listen.metrics"), aReason))
     return false;
@@ -143,10 +160,19 @@
   // Open transactions have the first half of the grace to end.
   if (passed > grace / 2)
     door_.EndRestingTransactions();
-  if (door_.Sessions() == 0 || passed > grace - kExitMargin) {
-    Core::LogChange(
-      "stopped",
-      { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
-    loop_.Stop();
-  }
+  if (door_.Sessions() > 0 && passed < grace - kExitMargin)
+    return;
+  stopTimer_.reset();
+  FinishStop();
+}
+
+void
+NodeServer::FinishStop()
+{
+  Core::LogChange(
+    "stopped",
+    { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
+  door_.CloseAllSessions();
+  node_.Leave([this] { loop_.Stop(); });
+  stopTimer_ = loop_.After(kExitMargin / 2, [this] { loop_.Stop(); });
 }
--- a/Services/Node/NodeServer.h
+++ b/Services/Node/NodeServer.h
@@ -6,6 +6,8 @@
 #include "PromoteClient.h"
 #include "StoreClient.h"
 
+#include <LibPeers/PeerClient.h>
+#include <LibPeers/PeerServer.h>
 #include <LibSettings/ProcessSettings.h>
 #include <LibWire/HttpServer.h>
 
@@ -27,6 +29,7 @@
               Core::LastReason& aReason);
   void AddRoutes();
   void ContinueStop();
+  void FinishStop();
 
   Core::Loop& loop_;
   Settings::ProcessSettings settings_;
@@ -34,9 +37,11 @@
   Adapter::LineDialer dialer_;
   Adapter::StoreClient store_;
   Adapter::PromoteClient promoter_;
+  Peers::PeerClient peerClient_;
   Pooler::Node node_;
   Adapter::PlatformFeeds feeds_;
   Adapter::ClientDoor door_;
+  Peers::PeerServer peerServer_;
   Wire::HttpServer readiness_;
   Wire::HttpServer metricsServer_;
   Core::Instant stopBegan_{};
