Tests: Check the codecs, the decoders and the leases; LibAuthority: Release the duty

Cause: Release marked the duty as released before it asked whether it was held, so that no stop ever gave it up and a successor waited for the lease to end (found by AReleasedDutyIsFreeAtOnce).

--- a/Libraries/LibAuthority/DutyLease.cpp
+++ b/Libraries/LibAuthority/DutyLease.cpp
@@ -72,8 +72,8 @@
 std::optional<StoredRow>
 DutyLease::Release(Core::Instant aNow)
 {
-  isReleased_ = true;
   const bool isHeld = Holds(aNow);
+  isReleased_ = true;
   heldUntil_ = {};
   if (!isHeld || isWriting_)
     return std::nullopt;
--- /dev/null
+++ b/Tests/LibAuthority/TestLeases.cpp
@@ -0,0 +1,246 @@
+#define BOOST_TEST_MODULE Leases
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <LibAuthority/DutyLease.h>
+#include <LibAuthority/PrimaryAuthority.h>
+#include <LibAuthority/SampleBook.h>
+
+namespace data = boost::unit_test::data;
+using namespace std::chrono_literals;
+using Authority::DutyLease;
+using Authority::GroupRecord;
+using Authority::StoredRow;
+using Authority::WriteResult;
+using Core::Instant;
+
+namespace {
+
+constexpr Authority::DutyLeaseTiming kTiming{ 2000ms, 250ms, 500ms };
+const Instant kStart{ 10s };
+
+GroupRecord
+RecordOf(Session::Term aTerm, std::uint64_t aVersion)
+{
+  GroupRecord record;
+  record.group = "g";
+  record.term = aTerm;
+  record.primary = "db" + std::to_string(aTerm);
+  record.version = aVersion;
+  return record;
+}
+
+DutyLease
+HeldLease()
+{
+  DutyLease lease("lease/x", "me", kTiming);
+  lease.Observe({ "lease/x", "", 0 }, kStart);
+  BOOST_REQUIRE(lease.NextWrite(kStart).has_value());
+  lease.OnWritten({ WriteResult::Applied, 5 }, kStart);
+  return lease;
+}
+
+struct ClampCase
+{
+  Session::LogPosition position;
+  std::vector<Authority::TermStart> starts;
+  Session::LogPosition expected;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const ClampCase& aCase)
+{
+  return aStream << aCase.position.ToText();
+}
+
+const ClampCase kClamps[] = {
+  { { 3, 1209 }, {}, { 3, 1209 } },
+  { { 3, 1209 }, { { 4, 1205 } }, { 3, 1205 } },
+  { { 3, 1200 }, { { 4, 1205 } }, { 3, 1200 } },
+  // A term's own start doesn't cut off what it wrote itself.
+  { { 4, 1209 }, { { 4, 1205 } }, { 4, 1209 } },
+  { { 3, 1209 }, { { 4, 1205 }, { 5, 1201 } }, { 3, 1201 } },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(NobodyActsBeforeItHasSeenTheRow)
+{
+  DutyLease lease("lease/x", "me", kTiming);
+  BOOST_TEST(!lease.NextWrite(kStart).has_value());
+  BOOST_TEST(!lease.Holds(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(HoldsUntilShortlyBeforeItsEnd)
+{
+  const DutyLease lease = HeldLease();
+  BOOST_TEST(lease.Token() == 5U);
+  BOOST_TEST(lease.Holds(kStart + 1700ms));
+  BOOST_TEST(!lease.Holds(kStart + 1750ms));
+  BOOST_TEST(!lease.HoldsFor(kStart + 1000ms, 900ms));
+}
+
+BOOST_AUTO_TEST_CASE(RenewsAndKeepsItsToken)
+{
+  DutyLease lease = HeldLease();
+  BOOST_TEST(!lease.NextWrite(kStart + 400ms).has_value());
+  const auto row = lease.NextWrite(kStart + 500ms);
+  BOOST_REQUIRE(row.has_value());
+  BOOST_TEST(row->version == 5U);
+  lease.OnWritten({ WriteResult::Applied, 9 }, kStart + 500ms);
+  BOOST_TEST(lease.Token() == 5U);
+  BOOST_TEST(lease.Holds(kStart + 2200ms));
+}
+
+BOOST_AUTO_TEST_CASE(ARenewalWithoutAnswerExtendsNothing)
+{
+  DutyLease lease = HeldLease();
+  lease.NextWrite(kStart + 500ms);
+  lease.OnWritten({ WriteResult::Unknown, 0 }, kStart + 500ms);
+  BOOST_TEST(!lease.Holds(kStart + 1750ms));
+}
+
+BOOST_AUTO_TEST_CASE(TakesARowThatRestsForTheDuration)
+{
+  DutyLease lease("lease/x", "me", kTiming);
+  lease.Observe({ "lease/x", "other", 7 }, kStart);
+  lease.Observe({ "lease/x", "other", 7 }, kStart + 1900ms);
+  BOOST_TEST(!lease.NextWrite(kStart + 1900ms).has_value());
+  const auto row = lease.NextWrite(kStart + 2001ms);
+  BOOST_REQUIRE(row.has_value());
+  BOOST_TEST(row->version == 7U);
+  // The other one renewed meanwhile: the row must be read again first.
+  lease.OnWritten({ WriteResult::Conflict, 0 }, kStart + 2001ms);
+  BOOST_TEST(!lease.NextWrite(kStart + 9000ms).has_value());
+  lease.Observe({ "lease/x", "other", 8 }, kStart + 9000ms);
+  BOOST_TEST(!lease.NextWrite(kStart + 9001ms).has_value());
+  BOOST_TEST(lease.Token() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(LosesTheDutyToAnotherHolder)
+{
+  DutyLease lease = HeldLease();
+  lease.Observe({ "lease/x", "other", 8 }, kStart + 100ms);
+  BOOST_TEST(!lease.Holds(kStart + 101ms));
+}
+
+BOOST_AUTO_TEST_CASE(FindsItsOwnWriteWhoseAnswerWasLost)
+{
+  DutyLease lease("lease/x", "me", kTiming);
+  lease.Observe({ "lease/x", "", 0 }, kStart);
+  lease.NextWrite(kStart);
+  lease.OnWritten({ WriteResult::Unknown, 0 }, kStart);
+  lease.Observe({ "lease/x", "me", 6 }, kStart + 900ms);
+  // When it began is unknown, so nothing is done before a renewal.
+  BOOST_TEST(!lease.Holds(kStart + 901ms));
+  BOOST_TEST(lease.NextWrite(kStart + 901ms).has_value());
+  BOOST_TEST(lease.Token() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(AReleasedDutyIsFreeAtOnce)
+{
+  DutyLease lease = HeldLease();
+  const auto row = lease.Release(kStart + 100ms);
+  BOOST_REQUIRE(row.has_value());
+  BOOST_TEST(row->value.empty());
+  BOOST_TEST(!lease.Holds(kStart + 101ms));
+  DutyLease next("lease/x", "next", kTiming);
+  next.Observe({ "lease/x", "", 9 }, kStart + 200ms);
+  BOOST_TEST(next.NextWrite(kStart + 201ms).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AuthorityLastsFromTheQuestion)
+{
+  Authority::PrimaryAuthority authority({ 7500ms, 1200ms });
+  BOOST_TEST(!authority.Holds(kStart));
+  authority.Observe(RecordOf(1, 3), kStart);
+  BOOST_TEST(authority.Holds(kStart + 7499ms));
+  BOOST_TEST(!authority.Holds(kStart + 7500ms));
+  BOOST_TEST(authority.HoldsForPlainReads(kStart + 1199ms));
+  BOOST_TEST(!authority.HoldsForPlainReads(kStart + 1200ms));
+  authority.Renew(kStart + 1s);
+  BOOST_TEST(authority.HoldsForPlainReads(kStart + 2100ms));
+  // An answer to an older question takes nothing away.
+  authority.Renew(kStart);
+  BOOST_TEST(authority.HoldsForPlainReads(kStart + 2100ms));
+}
+
+BOOST_AUTO_TEST_CASE(ARecordWithoutAQuestionGivesNoAuthority)
+{
+  Authority::PrimaryAuthority authority({ 7500ms, 1200ms });
+  authority.Observe(RecordOf(1, 3), Authority::kNever);
+  BOOST_TEST(!authority.Holds(Instant{}));
+  BOOST_TEST(!authority.Holds(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(AChangeEndsAuthorityAndOldNewsDoNotRestoreIt)
+{
+  Authority::PrimaryAuthority authority({ 7500ms, 1200ms });
+  authority.Observe(RecordOf(1, 3), kStart);
+  GroupRecord change = RecordOf(1, 4);
+  change.change = Authority::PrimaryChange{};
+  authority.Observe(change, Authority::kNever);
+  BOOST_TEST(!authority.Holds(kStart + 1ms));
+  authority.Observe(RecordOf(1, 3), kStart + 2ms);
+  authority.Renew(kStart + 2ms);
+  BOOST_TEST(!authority.Holds(kStart + 3ms));
+  authority.Observe(RecordOf(2, 5), kStart + 4ms);
+  BOOST_TEST(authority.HoldsFor(2, kStart + 5ms));
+  BOOST_TEST(!authority.HoldsFor(1, kStart + 5ms));
+}
+
+BOOST_AUTO_TEST_CASE(ANewTermBeginsWithoutTheOldTermsLease)
+{
+  Authority::PrimaryAuthority authority({ 7500ms, 1200ms });
+  authority.Observe(RecordOf(1, 3), kStart);
+  authority.Observe(RecordOf(2, 5), Authority::kNever);
+  BOOST_TEST(!authority.Holds(kStart + 1ms));
+}
+
+BOOST_DATA_TEST_CASE(ClampsWhatWasRolledBack, data::make(kClamps))
+{
+  const auto clamped = Authority::ClampToTerms(sample.position, sample.starts);
+  BOOST_TEST((clamped == sample.expected));
+}
+
+BOOST_AUTO_TEST_CASE(AFloorComesFromTheOldestSampleYoungEnough)
+{
+  Authority::SampleBook book;
+  BOOST_TEST(!book.FloorFor(kStart, 1500ms).has_value());
+  book.Add(kStart, { 1, 10 });
+  book.Add(kStart + 500ms, { 1, 20 });
+  book.Add(kStart + 1000ms, { 1, 30 });
+  const auto at = [&book](Core::Duration aAge) {
+    const auto floor = book.FloorFor(kStart + aAge, 1500ms);
+    return floor ? floor->position : 0;
+  };
+  BOOST_TEST(at(1400ms) == 10U);
+  BOOST_TEST(at(1500ms) == 20U); // 20 ms are kept for the clocks.
+  BOOST_TEST(at(2400ms) == 30U);
+  BOOST_TEST(at(2500ms) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AFloorIsClampedByAPromotion)
+{
+  Authority::SampleBook book;
+  book.Add(kStart, { 1, 10 });
+  book.Clamp({ { 2, 7 } });
+  const auto floor = book.FloorFor(kStart + 1ms, 1500ms);
+  BOOST_REQUIRE(floor.has_value());
+  BOOST_TEST((*floor == Session::LogPosition{ 1, 7 }));
+}
+
+BOOST_AUTO_TEST_CASE(ARecordGoesThereAndBack)
+{
+  GroupRecord record = RecordOf(3, 0);
+  record.change = Authority::PrimaryChange{ "db9" };
+  record.starts = { { 2, 100 }, { 3, 180 } };
+  Core::LastReason reason;
+  const auto back = GroupRecord::Parse("g", record.ToText(), reason);
+  BOOST_REQUIRE(back.has_value());
+  BOOST_TEST(back->term == 3U);
+  BOOST_TEST(back->change->candidate == "db9");
+  BOOST_TEST(back->starts.size() == 2U);
+  BOOST_TEST(!GroupRecord::Parse("g", "{}", reason).has_value());
+  BOOST_TEST(!GroupRecord::Parse("g", "\xff", reason).has_value());
+}
--- /dev/null
+++ b/Tests/Platform/TestDecoders.cpp
@@ -0,0 +1,104 @@
+#define BOOST_TEST_MODULE Decoders
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "Base64.h"
+#include "Decoders.h"
+
+#include <LibCore/Random.h>
+
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr const char* kGoodEntry =
+  R"({"service":"g1","address":"10.0.0.9:8080","zone":"z1","version":"v1",
+      "slots":5,"state":"ready","cold-left-ms":0,"db-role":"follower",
+      "seq":4,"born":1700000000000})";
+
+/** Entries that name no database to use. */
+const char* const kBadEntries[] = {
+  "",
+  "not json",
+  "[]",
+  "{}",
+  R"({"service":7,"address":"10.0.0.9:8080","zone":"z","slots":5,"state":"ready"})",
+  R"({"service":"g","address":"nowhere","zone":"z","slots":5,"state":"ready"})",
+  R"({"service":"g","address":"10.0.0.9:8080","zone":"z","slots":"5","state":"ready"})",
+  R"({"service":"g","address":"10.0.0.9:8080","zone":"z","slots":5,"state":"asleep"})",
+  R"({"service":"g","address":"10.0.0.9:8080","zone":"z","slots":0,"state":"ready"})",
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ReadsADatabase)
+{
+  Core::Findings findings;
+  const auto database = Adapter::DecodeDatabase("i-1", kGoodEntry, findings);
+  BOOST_REQUIRE(database.has_value());
+  BOOST_TEST(database->group == "g1");
+  BOOST_TEST(database->host == "10.0.0.9");
+  BOOST_TEST(database->port == 8080);
+  BOOST_TEST(database->startedAt == 1700000000000LL);
+  BOOST_TEST(!database->isLeaving);
+}
+
+BOOST_DATA_TEST_CASE(RefusesForeignEntries, data::make(kBadEntries))
+{
+  Core::Findings findings;
+  BOOST_TEST(!Adapter::DecodeDatabase("i-1", sample, findings).has_value());
+  BOOST_TEST(!findings.IsEmpty());
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAConfigurationAndLeavesOutWhatIsUnreadable)
+{
+  Core::Findings findings;
+  const auto configuration = Adapter::DecodeConfiguration(
+    R"({"version":7,"routes":[
+         {"name":"r1","host":"d1","service":"g1","kind":"leader",
+          "timeout-ms":1000,"target-latency-ms":200,"priority":1},
+         {"name":"r2","host":"d2","service":"g1","kind":"read_your_writes",
+          "timeout-ms":900,"target-latency-ms":200,"max-staleness-ms":2500},
+         {"name":"r3","host":"d3","service":"g1","kind":"unheard-of"}, 5],
+       "services":[{"name":"g1","max-conns":34}],
+       "limits":{"tx-idle-ms":3000}})",
+    findings);
+  BOOST_REQUIRE(configuration.has_value());
+  BOOST_TEST(configuration->version == 7U);
+  BOOST_TEST(configuration->routes.size() == 2U);
+  const Pooler::Route& route = configuration->routes.at("d2");
+  BOOST_CHECK(route.consistency == Pooler::Consistency::ReadYourWrites);
+  BOOST_CHECK(route.maxStaleness == std::chrono::milliseconds(2500));
+  BOOST_TEST(configuration->maxConnections.at("g1") == 34);
+  BOOST_CHECK(configuration->transactionIdleTimeout ==
+              std::chrono::seconds(3));
+  BOOST_TEST(findings.List().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(NeedsAVersion)
+{
+  Core::Findings findings;
+  BOOST_TEST(!Adapter::DecodeConfiguration(R"({"routes":[]})", findings));
+}
+
+BOOST_AUTO_TEST_CASE(Base64GoesThereAndBack)
+{
+  constexpr std::size_t kLongest = 70;
+  Core::Random random(3);
+  for (std::size_t length = 0; length < kLongest; ++length) {
+    std::string bytes;
+    while (bytes.size() < length)
+      bytes += static_cast<char>(random.Below(256));
+    const auto back = Adapter::DecodeBase64(Adapter::EncodeBase64(bytes));
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST(*back == bytes);
+  }
+  BOOST_TEST(Adapter::EncodeBase64("node-1") == "bm9kZS0x");
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWhatIsNotBase64)
+{
+  BOOST_TEST(!Adapter::DecodeBase64("abc").has_value());
+  BOOST_TEST(!Adapter::DecodeBase64("a!cd").has_value());
+  BOOST_TEST(!Adapter::DecodeBase64("=abc").has_value());
+}
