--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -43,8 +43,7 @@
     return;
   const bool isOther =
     record_ && aRecord && aRecord->primary != record_->primary;
-  const bool isNews =
-    record_ && aRecord && aRecord->version > record_->version;
+  const bool isNews = record_ && aRecord && aRecord->version > record_->version;
   record_ = aRecord;
   if (isOther)
     primaryAliveAt_ = scheduler_.Now();
@@ -272,14 +271,13 @@
 void
 GroupSupervisor::BeginChange(std::string_view aReason)
 {
-  port_.Log(
-    "primary_change_begins",
-    { { "group", group_ },
-      { "primary", record_->primary },
-      { "term", record_->term },
-      { "reason", aReason },
-      { "silent_ms",
-        Core::ToMilliseconds(scheduler_.Now() - primaryAliveAt_) } });
+  port_.Log("primary_change_begins",
+            { { "group", group_ },
+              { "primary", record_->primary },
+              { "term", record_->term },
+              { "reason", aReason },
+              { "silent_ms",
+                Core::ToMilliseconds(scheduler_.Now() - primaryAliveAt_) } });
   GroupRecord record = *record_;
   record.change = PrimaryChange{};
   EnterStage(Stage::Announcing);
@@ -321,12 +319,12 @@
 void
 GroupSupervisor::OnFenced(std::string_view aHow)
 {
-  port_.Log("primary_fenced",
-            { { "group", group_ },
-              { "primary", record_->primary },
-              { "how", aHow },
-              { "after_ms",
-                Core::ToMilliseconds(scheduler_.Now() - stageSince_) } });
+  port_.Log(
+    "primary_fenced",
+    { { "group", group_ },
+      { "primary", record_->primary },
+      { "how", aHow },
+      { "after_ms", Core::ToMilliseconds(scheduler_.Now() - stageSince_) } });
   if (record_->change->candidate.empty()) {
     BeginChoosing();
     return;
@@ -384,7 +382,8 @@
   if (answered < useful && !isLate)
     return;
   // What the old primary acknowledged is on its way to the replicas.
-  if (steppedDownAt_ && statuses_.at(best->id).received < *steppedDownAt_ && !isLate)
+  if (steppedDownAt_ && statuses_.at(best->id).received < *steppedDownAt_ &&
+      !isLate)
     return;
   Name(best->id);
 }
@@ -420,8 +419,7 @@
 {
   GroupRecord record = *record_;
   record.change = PrimaryChange{ aCandidate };
-  boost::json::object facts{ { "group", group_ },
-                             { "candidate", aCandidate } };
+  boost::json::object facts{ { "group", group_ }, { "candidate", aCandidate } };
   for (const auto& [id, status] : statuses_)
     facts[id] = status.received.ToText();
   port_.Log("candidate_chosen", std::move(facts));
@@ -443,18 +441,18 @@
   isPromoteCalled_ = true;
   promoteCalledAt_ = scheduler_.Now();
   const std::string candidate = record_->change->candidate;
-  port_.Promote(
-    group_,
-    candidate,
-    timing_.promoteTimeout,
-    [this, epoch = epoch_, candidate](PromoteResult aResult) {
-      port_.Log("promote_called",
-                { { "group", group_ },
-                  { "candidate", candidate },
-                  { "result", kPromoteResultNames.NameOf(aResult) } });
-      if (epoch == epoch_ && aResult == PromoteResult::Rejected)
-        BeginChoosing();
-    });
+  port_.Promote(group_,
+                candidate,
+                timing_.promoteTimeout,
+                [this, epoch = epoch_, candidate](PromoteResult aResult) {
+                  port_.Log(
+                    "promote_called",
+                    { { "group", group_ },
+                      { "candidate", candidate },
+                      { "result", kPromoteResultNames.NameOf(aResult) } });
+                  if (epoch == epoch_ && aResult == PromoteResult::Rejected)
+                    BeginChoosing();
+                });
 }
 
 void
--- a/Libraries/LibAuthority/SampleBook.cpp
+++ b/Libraries/LibAuthority/SampleBook.cpp
@@ -38,13 +38,13 @@
 SampleBook::FloorFor(Core::Instant aNow, Core::Duration aBound) const
 {
   const Core::Instant oldest = aNow - aBound + kClockMargin;
-  const auto first = std::lower_bound(
-    samples_.begin(),
-    samples_.end(),
-    oldest,
-    [](const Sample& aSample, Core::Instant aTime) {
-      return aSample.sentAt < aTime;
-    });
+  const auto first =
+    std::lower_bound(samples_.begin(),
+                     samples_.end(),
+                     oldest,
+                     [](const Sample& aSample, Core::Instant aTime) {
+                       return aSample.sentAt < aTime;
+                     });
   if (first == samples_.end())
     return std::nullopt;
   return first->position;
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
@@ -62,10 +62,7 @@
 
   const std::optional<GroupRecord>& Record() const { return record_; }
   /** When the question was asked that the lease rests on. */
-  Core::Instant AskedAt() const
-  {
-    return askedAt_;
-  }
+  Core::Instant AskedAt() const { return askedAt_; }
 
 private:
   bool HoldsWithin(Core::Duration aLease, Core::Instant aNow) const;
--- a/Libraries/LibPeers/PeerClient.cpp
+++ b/Libraries/LibPeers/PeerClient.cpp
@@ -111,7 +111,8 @@
          answer.delivery = aAnswer.delivery;
          Core::Findings findings;
          Wire::FieldReader reader(aAnswer.body, findings);
-         if (const auto clock = reader.OptionalInteger("clock_us", 0, kAnyNumber))
+         if (const auto clock =
+               reader.OptionalInteger("clock_us", 0, kAnyNumber))
            answer.clock = Core::Instant(Core::Duration(*clock));
          if (const auto* groups = reader.OptionalArray("reached")) {
            for (const auto& group : *groups) {
--- a/Libraries/LibPooler/ConnectionPool.cpp
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -168,13 +168,12 @@
   }
   ++failedDials_;
   // A full database is no sign of trouble; it needs patience all the same.
-  const bool isFull = aOutcome.refusal && aOutcome.refusal->code ==
-                                            Sql::ErrorCode::ConnectionLimit;
+  const bool isFull = aOutcome.refusal &&
+                      aOutcome.refusal->code == Sql::ErrorCode::ConnectionLimit;
   if (!isFull)
     RecordFailure();
-  const Core::Duration delay =
-    std::min<Core::Duration>(
-      kRedialDelay * (1 << std::min(failedDials_ - 1, 5)), kMaxRedialDelay);
+  const Core::Duration delay = std::min<Core::Duration>(
+    kRedialDelay * (1 << std::min(failedDials_ - 1, 5)), kMaxRedialDelay);
   noDialBefore_ = scheduler_.Now() + delay;
   if (Open() == 0 && (!isFull || failedDials_ >= kDialsBeforeRefusal))
     FailWaiters();
--- a/Libraries/LibPooler/ControlLinks.cpp
+++ b/Libraries/LibPooler/ControlLinks.cpp
@@ -87,9 +87,8 @@
       Authority::ProbeOutcome outcome;
       outcome.isRefused = aOutcome.isRefusedByMachine;
       // Whoever refuses for lack of room is alive.
-      outcome.isBusy =
-        aOutcome.refusal &&
-        aOutcome.refusal->code == Sql::ErrorCode::ConnectionLimit;
+      outcome.isBusy = aOutcome.refusal && aOutcome.refusal->code ==
+                                             Sql::ErrorCode::ConnectionLimit;
       Finish(aQuestion, outcome);
     },
     [this, alive = alive_, id = aQuestion->id] {
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -120,8 +120,8 @@
   const Core::Instant now = scheduler_.Now();
   if (holds && now >= nextTending_) {
     nextTending_ = now + kHeartbeatInterval;
-    membership_.TendOthers(
-      KnowsAllChanges() ? std::optional(newestRecord_) : std::nullopt);
+    membership_.TendOthers(KnowsAllChanges() ? std::optional(newestRecord_)
+                                             : std::nullopt);
   }
   for (auto& [name, supervisor] : supervisors_)
     supervisor->Tick();
@@ -143,9 +143,9 @@
     if (lease_.Token() != before)
       Log("duty_acquired", { { "token", lease_.Token() } });
     if (aOutcome.result != Authority::WriteResult::Applied)
-      Log("duty_not_written",
-          { { "result",
-              Authority::kWriteResultNames.NameOf(aOutcome.result) } });
+      Log(
+        "duty_not_written",
+        { { "result", Authority::kWriteResultNames.NameOf(aOutcome.result) } });
   });
 }
 
@@ -173,9 +173,8 @@
   if (!row)
     return;
   store_.Write(*row, [this](const Authority::WriteOutcome& aOutcome) {
-    Log(
-      "duty_released",
-      { { "result", Authority::kWriteResultNames.NameOf(aOutcome.result) } });
+    Log("duty_released",
+        { { "result", Authority::kWriteResultNames.NameOf(aOutcome.result) } });
   });
 }
 
@@ -239,9 +238,8 @@
 }
 
 void
-FailoverDuty::WriteRecord(
-  const Authority::GroupRecord& aRecord,
-  std::function<void(Authority::WriteOutcome)> aDone)
+FailoverDuty::WriteRecord(const Authority::GroupRecord& aRecord,
+                          std::function<void(Authority::WriteOutcome)> aDone)
 {
   const Core::Instant askedAt = scheduler_.Now();
   store_.Write(
@@ -270,9 +268,7 @@
                                std::function<void()> aDone)
 {
   Revocation& revocation = revocations_[aRecord.group];
-  revocation = {
-    aRecord.version, std::move(aDone), nullptr, aRecord
-  };
+  revocation = { aRecord.version, std::move(aDone), nullptr, aRecord };
   StartRevocation(revocation);
 }
 
--- a/Libraries/LibPooler/GroupRouter.cpp
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -43,17 +43,16 @@
   std::map<std::string, std::shared_ptr<ConnectionPool>> kept;
   for (const Database& database : aDatabases) {
     const auto known = pools_.find(database.id);
-    const bool isSame =
-      known != pools_.end() && known->second->Info().host == database.host &&
-      known->second->Info().port == database.port &&
-      known->second->Info().startedAt == database.startedAt;
+    const bool isSame = known != pools_.end() &&
+                        known->second->Info().host == database.host &&
+                        known->second->Info().port == database.port &&
+                        known->second->Info().startedAt == database.startedAt;
     if (isSame) {
       known->second->Update(database);
       kept.insert(*known);
       continue;
     }
-    auto pool =
-      std::make_shared<ConnectionPool>(scheduler_, dialer_, database);
+    auto pool = std::make_shared<ConnectionPool>(scheduler_, dialer_, database);
     pool->SetLimit(connectionLimit_);
     kept.emplace(database.id, std::move(pool));
   }
@@ -112,9 +111,8 @@
 {
   if (aPool.Info().isLeaving || aNeed.excluded.contains(aPool.Info().id))
     return false;
-  const bool isKnownBehind =
-    aPool.Position() && *aPool.Position() < aFloor &&
-    scheduler_.Now() - aPool.PositionAt() < kLagMemory;
+  const bool isKnownBehind = aPool.Position() && *aPool.Position() < aFloor &&
+                             scheduler_.Now() - aPool.PositionAt() < kLagMemory;
   return !isKnownBehind;
 }
 
--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -57,28 +57,29 @@
   if (isRegistering_ || isLeaving_)
     return;
   isRegistering_ = true;
-  store_.Write(
-    MemberRoster::RowOf(self_),
-    [this, alive = alive_](const Authority::WriteOutcome& aOutcome) {
-      if (!*alive)
-        return;
-      isRegistering_ = false;
-      // The key is this process's own, so a row that is there already is an
-      // earlier write of its own whose answer was lost.
-      const bool isThere =
-        aOutcome.result == Authority::WriteResult::Applied ||
-        (aOutcome.result == Authority::WriteResult::Conflict &&
-         self_.version == 0);
-      if (!isThere) {
-        retry_ = scheduler_.After(kRegisterDelay, [this] { WriteSelf(); });
-        return;
-      }
-      self_.version = std::max(self_.version, aOutcome.version);
-      registeredAt_ = scheduler_.Now();
-      log_("registered", { { "member", self_.Key() } });
-      if (const auto done = std::exchange(registered_, nullptr))
-        done();
-    });
+  store_.Write(MemberRoster::RowOf(self_),
+               [this, alive = alive_](const Authority::WriteOutcome& aOutcome) {
+                 if (!*alive)
+                   return;
+                 isRegistering_ = false;
+                 // The key is this process's own, so a row that is there
+                 // already is an earlier write of its own whose answer was
+                 // lost.
+                 const bool isThere =
+                   aOutcome.result == Authority::WriteResult::Applied ||
+                   (aOutcome.result == Authority::WriteResult::Conflict &&
+                    self_.version == 0);
+                 if (!isThere) {
+                   retry_ =
+                     scheduler_.After(kRegisterDelay, [this] { WriteSelf(); });
+                   return;
+                 }
+                 self_.version = std::max(self_.version, aOutcome.version);
+                 registeredAt_ = scheduler_.Now();
+                 log_("registered", { { "member", self_.Key() } });
+                 if (const auto done = std::exchange(registered_, nullptr))
+                   done();
+               });
 }
 
 void
@@ -216,10 +217,10 @@
       if (!*alive)
         return;
       contacts_.erase(key);
-      log_("member_removed",
-           { { "member", key },
-             { "result",
-               Authority::kWriteResultNames.NameOf(aOutcome.result) } });
+      log_(
+        "member_removed",
+        { { "member", key },
+          { "result", Authority::kWriteResultNames.NameOf(aOutcome.result) } });
     });
 }
 
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -447,8 +447,9 @@
 void
 Node::UpdateGauges()
 {
-  metrics_.Set("members", static_cast<std::int64_t>(
-                            membership_.Roster().Present().size()));
+  metrics_.Set(
+    "members",
+    static_cast<std::int64_t>(membership_.Roster().Present().size()));
   metrics_.Set("configuration_version",
                static_cast<std::int64_t>(configuration_.version));
   metrics_.Set("holds_duty", duty_.Holds() ? 1 : 0);
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -210,12 +210,11 @@
 {
   phase_ = Phase::Preparing;
   const bool isPinned = IsInTransaction() && !IsFirstInTransaction();
-  const bool isRested =
-    !isPinned && need_.needsPrimary &&
-    scheduler_.Now() - connection_->idleSince > kProofAfter;
-  auto commands =
-    isRested ? connection_->state.PrepareAnew(context_.values, Shape())
-             : connection_->state.Prepare(context_.values, Shape());
+  const bool isRested = !isPinned && need_.needsPrimary &&
+                        scheduler_.Now() - connection_->idleSince > kProofAfter;
+  auto commands = isRested
+                    ? connection_->state.PrepareAnew(context_.values, Shape())
+                    : connection_->state.Prepare(context_.values, Shape());
   if (IsFirstInTransaction() || IsFencedRead()) {
     // At a primary even a transaction that only reads is opened for writing,
     // so that the database ends it when it steps down.
@@ -314,8 +313,8 @@
   else if (IsWrite())
     context_.transaction->hasWritten = true;
   connection_->link->Send(command, Guard([this](Sql::DatabaseReply aReply) {
-    OnReply(std::move(aReply));
-  }));
+                            OnReply(std::move(aReply));
+                          }));
 }
 
 void
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -27,9 +27,8 @@
     Core::Duration timeout{ 0 };
   };
   /** aDone runs once, never from inside Promote. */
-  virtual void Promote(
-    const Call& aCall,
-    std::function<void(Authority::PromoteResult)> aDone) = 0;
+  virtual void Promote(const Call& aCall,
+                       std::function<void(Authority::PromoteResult)> aDone) = 0;
 };
 
 /** This node's part in the failover duty. */
@@ -104,9 +103,8 @@
                const std::string& aId,
                Core::Duration aTimeout,
                std::function<void(Authority::PromoteResult)> aDone) override;
-  void WriteRecord(
-    const Authority::GroupRecord& aRecord,
-    std::function<void(Authority::WriteOutcome)> aDone) override;
+  void WriteRecord(const Authority::GroupRecord& aRecord,
+                   std::function<void(Authority::WriteOutcome)> aDone) override;
   void RevokeEverywhere(const Authority::GroupRecord& aRecord,
                         std::function<void()> aDone) override;
   void Log(std::string_view aWhat, boost::json::object aFacts) override;
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -82,8 +82,7 @@
   };
 
   void WriteSelf();
-  void Tend(const Member& aMember,
-            std::optional<std::uint64_t> aNewestRecord);
+  void Tend(const Member& aMember, std::optional<std::uint64_t> aNewestRecord);
   void OnAnswer(const std::string& aKey, const HeartbeatAnswer& aAnswer);
   void Expel(Member aMember, std::string_view aReason);
   void Remove(const Member& aMember);
--- a/Libraries/LibWire/LineConnection.cpp
+++ b/Libraries/LibWire/LineConnection.cpp
@@ -89,9 +89,8 @@
   , maxLineBytes_(kStandardMaxLineBytes)
 {
   Attach();
-  connectTimer_ = loop_.After(aTimeout, [this] {
-    listener_->OnEnd(LineEnd::ConnectTimedOut);
-  });
+  connectTimer_ = loop_.After(
+    aTimeout, [this] { listener_->OnEnd(LineEnd::ConnectTimedOut); });
   sockaddr_in address = ToSocketAddress(aAddress);
   // A failure is reported through the event callback as well.
   (void)bufferevent_socket_connect(
@@ -166,8 +165,7 @@
     return;
   }
   // While paused, what has been read is enough; the peer is made to wait.
-  const bool isFull =
-    isPaused_ && evbuffer_get_length(input) > kReadAheadBytes;
+  const bool isFull = isPaused_ && evbuffer_get_length(input) > kReadAheadBytes;
   if (isFull)
     bufferevent_disable(events_, EV_READ);
   else
--- a/Libraries/LibWire/include/LibWire/LineConnection.h
+++ b/Libraries/LibWire/include/LibWire/LineConnection.h
@@ -41,8 +41,8 @@
 
 /**
  * A TCP connection that carries lines, each ended by CR LF; a line may contain
- * a bare CR or LF. Reading pauses while more than a limit waits to be written, so
- * that a peer which doesn't read can't fill the memory.
+ * a bare CR or LF. Reading pauses while more than a limit waits to be written,
+ * so that a peer which doesn't read can't fill the memory.
  */
 class LineConnection
 {
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -141,8 +141,9 @@
 {
   if (node_.IsStopping())
     return;
-  Core::LogChange("stopping",
-                  { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
+  Core::LogChange(
+    "stopping",
+    { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
   node_.BeginStop();
   stopBegan_ = loop_.Now();
   stopTimer_ = loop_.Every(kStopInterval, [this] { ContinueStop(); });
@@ -170,8 +171,7 @@
 NodeServer::FinishStop()
 {
   Core::LogChange(
-    "stopped",
-    { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
+    "stopped", { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
   door_.CloseAllSessions();
   node_.Leave([this] { loop_.Stop(); });
   stopTimer_ = loop_.After(kExitMargin / 2, [this] { loop_.Stop(); });
--- /dev/null
+++ b/Tests/LibPooler/FakeDatabases.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "../Simulation/VirtualTime.h"
+
+#include <LibSql/DatabaseLink.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Fakes {
+
+class FakeLink;
+
+/** One database, as far as connections to it can tell. */
+struct FakeDatabase
+{
+  std::string id;
+  bool isPrimary = false;
+  Session::Term term = 1;
+  std::uint64_t position = 100;
+  /** It gives no answer and takes no connection. */
+  bool isDark = false;
+  /** The answers to these statements get lost, in order of arrival. */
+  int answersToLose = 0;
+  /** So many statements are answered with Busy. */
+  int timesBusy = 0;
+  /** Connections beyond this are refused. */
+  int maxConnections = 100;
+  int connections = 0;
+  /** How long a client's statement takes. */
+  Core::Duration work = std::chrono::milliseconds(5);
+  /** What it ran, in order: "begin", "set a=b", "r1 FETCH 1", ... */
+  std::vector<std::string> ran;
+
+  bool HasRun(const std::string& aEntry) const;
+};
+
+/** Databases that are reached without a network, in virtual time. */
+class FakeDatabases final : public Sql::DatabaseDialer
+{
+public:
+  explicit FakeDatabases(Simulation::VirtualTime& aTime)
+    : time_(aTime)
+  {
+  }
+
+  FakeDatabase& Add(const std::string& aId, bool aIsPrimary);
+  FakeDatabase& At(const std::string& aId) { return *databases_.at(aId); }
+
+  void Dial(const Sql::DatabaseAddress& aAddress,
+            std::function<void(Sql::DialOutcome)> aDone,
+            std::function<void()> aOnLost) override;
+  std::optional<Sql::DatabaseStatus> ReadStatus(
+    const Sql::DatabaseReply& aReply) const override;
+
+  /** Breaks every connection to a database. */
+  void BreakConnections(const std::string& aId);
+
+private:
+  friend class FakeLink;
+  Simulation::VirtualTime& time_;
+  std::map<std::string, std::unique_ptr<FakeDatabase>> databases_;
+  std::multimap<std::string, std::weak_ptr<FakeLink>> links_;
+};
+
+} // namespace Fakes
--- a/Tests/Platform/TestClientCodec.cpp
+++ b/Tests/Platform/TestClientCodec.cpp
@@ -32,7 +32,10 @@
   { "QUERY a1 ABORT", StatementKind::Rollback, "", "" },
   { "QUERY a1 FETCH 1a4", StatementKind::Read, "", "" },
   { "QUERY a1 STORE 1a4 some data", StatementKind::Write, "", "" },
-  { "QUERY a1 SET colour dark blue", StatementKind::Set, "colour", "dark blue" },
+  { "QUERY a1 SET colour dark blue",
+    StatementKind::Set,
+    "colour",
+    "dark blue" },
   { "QUERY a1 PARSE s1 STORE q2c", StatementKind::Prepare, "s1", "STORE q2c" },
   { "QUERY a1 EXECUTE s1 1a4 x", StatementKind::Execute, "s1", "1a4 x" },
   { "QUERY a1 CLOSE s1", StatementKind::Deallocate, "s1", "" },
@@ -54,8 +57,8 @@
 };
 
 const char* const kUnreadable[] = {
-  "", "HELLO", "QUERY", "QUERY ", "QUERY - FETCH 1", "STARTUP", "STARTUP ",
-  "READY I -", "query a1 FETCH 1", "QUERY a\tb FETCH 1",
+  "",        "HELLO",    "QUERY",     "QUERY ",           "QUERY - FETCH 1",
+  "STARTUP", "STARTUP ", "READY I -", "query a1 FETCH 1", "QUERY a\tb FETCH 1",
 };
 
 } // namespace
@@ -65,9 +68,8 @@
   const auto message = Adapter::ParseClientLine(sample.line);
   const auto* statement = std::get_if<Sql::Statement>(&message);
   BOOST_REQUIRE(statement != nullptr);
-  BOOST_TEST(
-    (Sql::kStatementKindNames.NameOf(statement->kind) ==
-     Sql::kStatementKindNames.NameOf(sample.kind)));
+  BOOST_TEST((Sql::kStatementKindNames.NameOf(statement->kind) ==
+              Sql::kStatementKindNames.NameOf(sample.kind)));
   BOOST_TEST(statement->requestId == "a1");
   BOOST_TEST(statement->name == sample.name);
   BOOST_TEST(statement->argument == sample.argument);
@@ -81,7 +83,8 @@
 
 BOOST_AUTO_TEST_CASE(KeepsTheTextUnchanged)
 {
-  const auto message = Adapter::ParseClientLine("QUERY x7 STORE 9  two  blanks ");
+  const auto message =
+    Adapter::ParseClientLine("QUERY x7 STORE 9  two  blanks ");
   BOOST_TEST(std::get<Sql::Statement>(message).text == "STORE 9  two  blanks ");
 }
 
@@ -110,8 +113,8 @@
 {
   constexpr int kRounds = 20'000;
   constexpr std::size_t kLongest = 60;
-  const std::string words[] = { "QUERY ", "STARTUP ", "BEGIN", " FETCH ",
-                                "EXECUTE ", "PARSE ", "\n", "-" };
+  const std::string words[] = { "QUERY ",   "STARTUP ", "BEGIN", " FETCH ",
+                                "EXECUTE ", "PARSE ",   "\n",    "-" };
   Core::Random random(7);
   for (int round = 0; round < kRounds; ++round) {
     std::string line;
--- a/Tests/Platform/TestDatabaseCodec.cpp
+++ b/Tests/Platform/TestDatabaseCodec.cpp
@@ -97,10 +97,12 @@
 BOOST_AUTO_TEST_CASE(CollectsASuccess)
 {
   ReplyReader reader;
-  BOOST_CHECK(reader.AddLine("DATAROW one") == ReplyReader::Progress::NeedsMore);
+  BOOST_CHECK(reader.AddLine("DATAROW one") ==
+              ReplyReader::Progress::NeedsMore);
   BOOST_CHECK(reader.AddLine("COMPLETE 7.1f") ==
               ReplyReader::Progress::NeedsMore);
-  BOOST_CHECK(reader.AddLine("READY T 3.12") == ReplyReader::Progress::Complete);
+  BOOST_CHECK(reader.AddLine("READY T 3.12") ==
+              ReplyReader::Progress::Complete);
   const Sql::DatabaseReply reply = reader.Take();
   BOOST_TEST(reply.IsSuccess());
   BOOST_TEST(reply.rows.size() == 1U);
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -70,8 +70,7 @@
   BOOST_CHECK(route.consistency == Pooler::Consistency::ReadYourWrites);
   BOOST_CHECK(route.maxStaleness == std::chrono::milliseconds(2500));
   BOOST_TEST(configuration->maxConnections.at("g1") == 34);
-  BOOST_CHECK(configuration->transactionIdleTimeout ==
-              std::chrono::seconds(3));
+  BOOST_CHECK(configuration->transactionIdleTimeout == std::chrono::seconds(3));
   BOOST_TEST(findings.List().size() == 2U);
 }
 
