LibAuthority: Record an heir that leads the same term; keep tenures apart

A holder's new tenure measured silence from its former one and expelled everybody. A stop gave the duty up in the middle of a change. Change: the heir is recorded; authority belongs to a primary and a term; contacts begin anew; a stop ends the change first and resigns by heartbeat. Seen: TestGroupSupervisor, 15 cases, passes.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -356,6 +356,12 @@
 GroupSupervisor::TryChoose()
 {
   const Core::Duration waited = scheduler_.Now() - stageSince_;
+  for (const auto& [id, status] : statuses_) {
+    if (!LeadsNow(id, status))
+      continue;
+    Complete(id, status);
+    return;
+  }
   const SupervisedDatabase* best = nullptr;
   std::size_t useful = 0;
   std::size_t answered = 0;
@@ -482,23 +488,38 @@
 void
 GroupSupervisor::OnCandidateProbe(const ProbeOutcome& aOutcome)
 {
-  const bool isLeading = aOutcome.status && aOutcome.status->isPrimary &&
-                         aOutcome.status->term > record_->term;
-  if (!isLeading) {
+  const std::string candidate = record_->change->candidate;
+  if (!aOutcome.status || !LeadsNow(candidate, *aOutcome.status)) {
     // A successor doesn't know whether its predecessor made the call.
     if (!isPromoteCalled_)
       CallPromote();
     return;
   }
+  Complete(candidate, *aOutcome.status);
+}
+
+bool
+GroupSupervisor::LeadsNow(const std::string& aId,
+                          const Sql::DatabaseStatus& aStatus) const
+{
+  if (!aStatus.isPrimary || aStatus.term < record_->term)
+    return false;
+  // A database that leaves for good hands its log, and its lead in the same
+  // term, to a new one at its address.
+  return aStatus.term > record_->term || aId != record_->primary;
+}
+
+void
+GroupSupervisor::Complete(const std::string& aId,
+                          const Sql::DatabaseStatus& aStatus)
+{
   GroupRecord record = *record_;
-  record.Complete(record_->change->candidate,
-                  aOutcome.status->term,
-                  aOutcome.status->received.position);
+  record.Complete(aId, aStatus.term, aStatus.received.position);
   port_.Log("primary_change_ends",
             { { "group", group_ },
               { "primary", record.primary },
               { "term", record.term },
-              { "position", aOutcome.status->received.position } });
+              { "position", aStatus.received.position } });
   EnterStage(Stage::Completing);
   WriteAndThen(record, [this] {
     primaryAliveAt_ = scheduler_.Now();
--- a/Libraries/LibAuthority/PrimaryAuthority.cpp
+++ b/Libraries/LibAuthority/PrimaryAuthority.cpp
@@ -12,7 +12,8 @@
   const bool isNew = !record_ || aRecord.version > record_->version;
   if (isNew) {
     // A lease belongs to the primary that it was given for.
-    if (!record_ || record_->term != aRecord.term || aRecord.change)
+    if (!record_ || record_->term != aRecord.term ||
+        record_->primary != aRecord.primary || aRecord.change)
       askedAt_ = kNever;
     record_ = aRecord;
     isRevoked_ = false;
@@ -55,9 +56,11 @@
 }
 
 bool
-PrimaryAuthority::HoldsFor(Session::Term aTerm, Core::Instant aNow) const
+PrimaryAuthority::HoldsFor(const std::string& aPrimary,
+                           Session::Term aTerm,
+                           Core::Instant aNow) const
 {
-  return Holds(aNow) && record_->term == aTerm;
+  return Holds(aNow) && record_->primary == aPrimary && record_->term == aTerm;
 }
 
 } // namespace Authority
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -141,6 +141,9 @@
   /** An answer came from the primary, by whatever way. */
   void NotePrimaryAlive();
 
+  /** True while a change of primary is under way here. */
+  bool IsChanging() const { return stage_ != Stage::Watching; }
+
   /** Does what is due; to be called some times a second. */
   void Tick();
 
@@ -181,6 +184,10 @@
   void CallPromote();
   void WatchCandidate();
   void OnCandidateProbe(const ProbeOutcome& aOutcome);
+  /** True if a database leads that isn't the primary of the record. */
+  bool LeadsNow(const std::string& aId,
+                const Sql::DatabaseStatus& aStatus) const;
+  void Complete(const std::string& aId, const Sql::DatabaseStatus& aStatus);
   void WriteAndThen(const GroupRecord& aRecord, std::function<void()> aNext);
   void ProbeInto(const std::string& aId);
   const SupervisedDatabase* Find(const std::string& aId) const;
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
@@ -57,8 +57,10 @@
   /** True while no other primary can have been promoted at all. */
   bool HoldsForPlainReads(Core::Instant aNow) const;
 
-  /** True while it holds for the primary of aTerm. */
-  bool HoldsFor(Session::Term aTerm, Core::Instant aNow) const;
+  /** True while it holds for the primary aPrimary of aTerm. */
+  bool HoldsFor(const std::string& aPrimary,
+                Session::Term aTerm,
+                Core::Instant aNow) const;
 
   const std::optional<GroupRecord>& Record() const { return record_; }
   /** When the question was asked that the lease rests on. */
--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -38,6 +38,8 @@
   : public boost::log::sinks::basic_formatted_sink_backend<char>
 {
 public:
+  // The name is the one that Boost.Log calls.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   void consume(const boost::log::record_view&, const std::string& aLine)
   {
     const Instant now = MonotonicClock().Now();
--- a/Libraries/LibPeers/PeerClient.cpp
+++ b/Libraries/LibPeers/PeerClient.cpp
@@ -19,7 +19,8 @@
 HeartbeatToJson(const Pooler::Heartbeat& aHeartbeat)
 {
   boost::json::object json{ { "sender", aHeartbeat.sender },
-                            { "receiver", aHeartbeat.receiver } };
+                            { "receiver", aHeartbeat.receiver },
+                            { "resigns", aHeartbeat.resigns } };
   if (aHeartbeat.echo)
     json["echo_us"] = aHeartbeat.echo->time_since_epoch().count();
   if (aHeartbeat.newestRecord)
@@ -63,7 +64,7 @@
 void
 PeerClient::Call(const Pooler::Member& aMember,
                  std::string aTarget,
-                 boost::json::object aBody,
+                 const boost::json::object& aBody,
                  std::function<void(Answer)> aDone)
 {
   Wire::HttpCall call;
--- a/Libraries/LibPeers/PeerServer.cpp
+++ b/Libraries/LibPeers/PeerServer.cpp
@@ -17,6 +17,7 @@
   Pooler::Heartbeat heartbeat;
   heartbeat.sender = aReader.String("sender");
   heartbeat.receiver = aReader.String("receiver");
+  heartbeat.resigns = aReader.Boolean("resigns", false);
   if (const auto echo = aReader.OptionalInteger("echo_us", 0, kAnyNumber))
     heartbeat.echo = Core::Instant(Core::Duration(*echo));
   if (const auto newest =
--- a/Libraries/LibPeers/include/LibPeers/PeerClient.h
+++ b/Libraries/LibPeers/include/LibPeers/PeerClient.h
@@ -32,7 +32,7 @@
   };
   void Call(const Pooler::Member& aMember,
             std::string aTarget,
-            boost::json::object aBody,
+            const boost::json::object& aBody,
             std::function<void(Answer)> aDone);
 
   Wire::HttpClient client_;
--- a/Libraries/LibPooler/ClientSession.cpp
+++ b/Libraries/LibPooler/ClientSession.cpp
@@ -241,7 +241,7 @@
     ReleaseTransaction();
   }
   if (aResult.error)
-    ReplyError(std::move(*aResult.error));
+    ReplyError(*aResult.error);
   else
     ReplySuccess(aResult.rows, aResult.signature);
 }
@@ -255,7 +255,7 @@
 }
 
 void
-ClientSession::ReplyError(Sql::Error aError)
+ClientSession::ReplyError(const Sql::Error& aError)
 {
   port_.SendError(aError, State());
   NextStatement();
--- a/Libraries/LibPooler/ControlLinks.cpp
+++ b/Libraries/LibPooler/ControlLinks.cpp
@@ -117,12 +117,12 @@
 
 void
 ControlLinks::Finish(const std::shared_ptr<Question>& aQuestion,
-                     Authority::ProbeOutcome aOutcome)
+                     const Authority::ProbeOutcome& aOutcome)
 {
   aQuestion->timeout.reset();
   const auto done = std::exchange(aQuestion->done, nullptr);
   if (done)
-    done(std::move(aOutcome));
+    done(aOutcome);
 }
 
 } // namespace Pooler
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -18,6 +18,9 @@
 /** Partitions often end within this. */
 constexpr Core::Duration kPatienceInPartition = std::chrono::seconds(5);
 
+/** How long a stop waits for a change of primary that has begun. */
+constexpr Core::Duration kChangePatience = std::chrono::milliseconds(2500);
+
 /** How often the holder sends heartbeats. */
 constexpr Core::Duration kHeartbeatInterval = std::chrono::milliseconds(300);
 
@@ -109,9 +112,12 @@
 void
 FailoverDuty::Tick()
 {
+  ReleaseIfIdle();
   WriteLease();
   ReadLease();
   const bool holds = Holds();
+  if (!wasHolding_ && holds)
+    membership_.ForgetContacts();
   if (wasHolding_ && !holds) {
     control_.CloseAll();
     revocations_.clear();
@@ -166,9 +172,32 @@
               });
 }
 
+bool
+FailoverDuty::IsChangingPrimary() const
+{
+  return std::any_of(
+    supervisors_.begin(), supervisors_.end(), [](const auto& aEntry) {
+      return aEntry.second->IsChanging();
+    });
+}
+
 void
 FailoverDuty::Release()
 {
+  releaseBy_ = scheduler_.Now() + kChangePatience;
+  ReleaseIfIdle();
+}
+
+void
+FailoverDuty::ReleaseIfIdle()
+{
+  if (!releaseBy_)
+    return;
+  // A change that has begun is sooner over here than with a successor.
+  if (Holds() && IsChangingPrimary() && scheduler_.Now() < *releaseBy_)
+    return;
+  releaseBy_.reset();
+  membership_.AnnounceResignation();
   const auto row = lease_.Release(scheduler_.Now());
   if (!row)
     return;
--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -165,7 +165,7 @@
   contact.isAsked = true;
   peers_.SendHeartbeat(
     aMember,
-    { self_.Key(), key, contact.clock, aNewestRecord },
+    { self_.Key(), key, contact.clock, aNewestRecord, false },
     [this, alive = alive_, key](const HeartbeatAnswer& aAnswer) {
       if (*alive)
         OnAnswer(key, aAnswer);
@@ -247,8 +247,9 @@
 void
 Membership::OnHeartbeat(const Heartbeat& aHeartbeat)
 {
-  if (aHeartbeat.sender != self_.Key())
-    heardAt_ = scheduler_.Now();
+  if (aHeartbeat.sender == self_.Key())
+    return;
+  heardAt_ = aHeartbeat.resigns ? Core::Instant::min() : scheduler_.Now();
 }
 
 bool
@@ -258,6 +259,20 @@
          scheduler_.Now() - heardAt_ < kHolderSilence;
 }
 
+void
+Membership::AnnounceResignation()
+{
+  for (const Member& member : Others()) {
+    Heartbeat heartbeat;
+    heartbeat.sender = self_.Key();
+    heartbeat.receiver = member.Key();
+    heartbeat.resigns = true;
+    peers_.SendHeartbeat(member, heartbeat, [](const HeartbeatAnswer&) {
+      // Whoever doesn't hear of it notices the silence a little later.
+    });
+  }
+}
+
 void
 Membership::Leave(std::function<void()> aDone)
 {
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -34,6 +34,18 @@
   return aText.substr(0, aPrefix.size()) == aPrefix;
 }
 
+/**
+ * This node's share of aTotal connections among aNodes. What doesn't divide
+ * evenly goes to those whose rank, counted round, is low.
+ */
+int
+ShareOf(int aTotal, std::size_t aNodes, std::size_t aRank)
+{
+  const int nodes = std::max(static_cast<int>(aNodes), 1);
+  const int rank = static_cast<int>(aRank) % nodes;
+  return aTotal / nodes + (rank < aTotal % nodes ? 1 : 0);
+}
+
 } // namespace
 
 Node::Node(Core::Scheduler& aScheduler,
@@ -150,14 +162,21 @@
 void
 Node::ShareConnections()
 {
-  const std::size_t present = membership_.Roster().Present().size();
-  const auto nodes = static_cast<double>(std::max<std::size_t>(present, 1));
+  const std::vector<Member> present = membership_.Roster().Present();
+  const auto self =
+    std::find_if(present.begin(), present.end(), [this](const Member& aMember) {
+      return aMember.Key() == memberKey_;
+    });
+  const auto rank = static_cast<std::size_t>(self - present.begin());
+  std::size_t groupIndex = 0;
   for (auto& [name, router] : routers_) {
     const auto limit = configuration_.maxConnections.find(name);
     if (limit == configuration_.maxConnections.end())
       continue;
-    const double share = limit->second * settings_.connectionShare / nodes;
-    router->SetConnectionLimit(static_cast<int>(share));
+    const auto usable =
+      static_cast<int>(limit->second * settings_.connectionShare);
+    router->SetConnectionLimit(
+      ShareOf(usable, present.size(), rank + groupIndex++));
   }
 }
 
@@ -380,7 +399,8 @@
         return;
       }
       const Core::Instant sentAt = scheduler_.Now();
-      const bool holds = aRouter.Authority().HoldsFor(choice.term, sentAt);
+      const bool holds = aRouter.Authority().HoldsFor(
+        choice.pool->Info().id, choice.term, sentAt);
       choice.pool->RunAndRelease(
         aConnection,
         { .kind = Sql::CommandKind::Status },
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -275,12 +275,19 @@
   SendStatement();
 }
 
+bool
+StatementRun::HasAuthority() const
+{
+  return router_.Authority().HoldsFor(
+    choice_.pool->Info().id, choice_.term, scheduler_.Now());
+}
+
 bool
 StatementRun::MaySendNow() const
 {
   if (!choice_.isPrimary)
     return true;
-  return router_.Authority().HoldsFor(choice_.term, scheduler_.Now());
+  return HasAuthority();
 }
 
 void
@@ -373,7 +380,7 @@
 {
   const bool endsTransaction = IsInTransaction() && IsCommit();
   if (MayHaveWritten() &&
-      !router_.Authority().HoldsFor(choice_.term, scheduler_.Now())) {
+      !HasAuthority()) {
     // Another primary may have been promoted without this write.
     ReturnConnection(true);
     Fail(Sql::ErrorCode::InDoubt, "the primary may have been replaced");
--- a/Libraries/LibPooler/include/LibPooler/ClientSession.h
+++ b/Libraries/LibPooler/include/LibPooler/ClientSession.h
@@ -87,7 +87,7 @@
   void OnResult(StatementResult aResult);
   void ReplySuccess(const std::vector<std::string>& aRows,
                     std::string_view aSignature);
-  void ReplyError(Sql::Error aError);
+  void ReplyError(const Sql::Error& aError);
   void NextStatement();
   void ReleaseTransaction();
   void StartIdleTimer();
--- a/Libraries/LibPooler/include/LibPooler/ControlLinks.h
+++ b/Libraries/LibPooler/include/LibPooler/ControlLinks.h
@@ -36,7 +36,7 @@
   void Dial(const std::shared_ptr<Question>& aQuestion);
   void Send(const std::shared_ptr<Question>& aQuestion);
   void Finish(const std::shared_ptr<Question>& aQuestion,
-              Authority::ProbeOutcome aOutcome);
+              const Authority::ProbeOutcome& aOutcome);
 
   Core::Scheduler& scheduler_;
   Sql::DatabaseDialer& dialer_;
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -63,7 +63,7 @@
 
   /** Renews or takes the duty, and acts on it. */
   void Tick();
-  /** Gives the duty up for good. */
+  /** Gives the duty up for good, once no change is under way. */
   void Release();
   bool Holds() const { return HoldsDuty(Core::Duration::zero()); }
 
@@ -83,6 +83,8 @@
     Authority::GroupRecord record;
   };
 
+  void ReleaseIfIdle();
+  bool IsChangingPrimary() const;
   void WriteLease();
   void ReadLease();
   void StartRevocation(Revocation& aRevocation);
@@ -126,6 +128,8 @@
   std::map<std::string, std::unique_ptr<RecordSpread>> announcements_;
   std::uint64_t appliedVersion_ = 0;
   std::uint64_t newestRecord_ = 0;
+  /** A stop gives the duty up by then at the latest. */
+  std::optional<Core::Instant> releaseBy_;
   bool isReadingLease_ = false;
   bool wasHolding_ = false;
   Core::Instant nextRead_ = Core::Instant::min();
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -49,10 +49,15 @@
    * newest version among the groups' records, if it is known for certain.
    */
   void TendOthers(std::optional<std::uint64_t> aNewestRecord);
+  /** Forgets how long others have been silent; for a new tenure. */
+  void ForgetContacts() { contacts_.clear(); }
   void OnHeartbeat(const Heartbeat& aHeartbeat);
   /** True while some holder's heartbeats come in. */
   bool HearsHolder() const;
 
+  /** Tells the others that this process gives the failover duty up. */
+  void AnnounceResignation();
+
   /** Takes this process's row away, at its end. */
   void Leave(std::function<void()> aDone);
 
--- a/Libraries/LibPooler/include/LibPooler/Peers.h
+++ b/Libraries/LibPooler/include/LibPooler/Peers.h
@@ -74,6 +74,8 @@
    * since only the sender may write one. None when it can't say so.
    */
   std::optional<std::uint64_t> newestRecord;
+  /** The sender gives the duty up; another one should take it. */
+  bool resigns = false;
 };
 
 /** What a member says in answer. */
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -102,6 +102,8 @@
   void PrepareConnection();
   void OnPrepared(const Sql::DatabaseReply& aReply, bool aIsBegin);
   void SendStatement();
+  /** Nobody else can have been promoted in the chosen primary's place. */
+  bool HasAuthority() const;
   bool MaySendNow() const;
   void OnReply(Sql::DatabaseReply aReply);
   void OnLost();
--- a/Libraries/LibWire/LineConnection.cpp
+++ b/Libraries/LibWire/LineConnection.cpp
@@ -19,13 +19,13 @@
 namespace {
 
 /** The longest line unless the owner says otherwise. */
-constexpr std::size_t kStandardMaxLineBytes = 1024 * 1024;
+constexpr std::size_t kStandardMaxLineBytes = 1024UL * 1024;
 
 /** Reading pauses while this much waits to be written. */
-constexpr std::size_t kWriteBacklogBytes = 256 * 1024;
+constexpr std::size_t kWriteBacklogBytes = 256UL * 1024;
 
 /** How much is read at a time beyond the longest line. */
-constexpr std::size_t kReadAheadBytes = 64 * 1024;
+constexpr std::size_t kReadAheadBytes = 64UL * 1024;
 
 /** How long a closing connection waits for its peer to read. */
 constexpr Core::Duration kLingerTimeout = std::chrono::milliseconds(500);
--- /dev/null
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -0,0 +1,364 @@
+#define BOOST_TEST_MODULE GroupSupervisor
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "../Simulation/VirtualTime.h"
+
+#include <LibAuthority/GroupSupervisor.h>
+
+#include <map>
+
+namespace data = boost::unit_test::data;
+using namespace std::chrono_literals;
+using Authority::GroupRecord;
+using Authority::PromoteResult;
+using Authority::WriteResult;
+
+namespace {
+
+Authority::SupervisorTiming
+Timing()
+{
+  Authority::SupervisorTiming timing;
+  timing.authorityLease = { 7500ms, 1200ms };
+  timing.clockMargin = 200ms;
+  timing.probeInterval = 250ms;
+  timing.probeTimeout = 500ms;
+  timing.silenceLimit = 900ms;
+  timing.choiceTimeout = 400ms;
+  timing.promoteTimeout = 900ms;
+  timing.promotionPatience = 3000ms;
+  return timing;
+}
+
+struct FakeMember
+{
+  bool isReachable = true;
+  Sql::DatabaseStatus status;
+};
+
+/** A group of three databases and the node around its supervisor. */
+class Fixture : public Authority::SupervisorPort
+{
+public:
+  Fixture()
+    : supervisor(time, *this, "g", Timing())
+  {
+    for (const std::string id : { "a", "b", "c" })
+      members[id].status.term = 1;
+    members["a"].status.isPrimary = true;
+    for (auto& [id, member] : members)
+      member.status.received = { 1, 100 };
+    ListAll();
+    timer = time.Every(50ms, [this] { supervisor.Tick(); });
+  }
+  ~Fixture() override
+  {
+    timer.reset();
+    time.Close();
+  }
+
+  void ListAll()
+  {
+    std::vector<Authority::SupervisedDatabase> list;
+    for (const auto& [id, member] : members)
+      list.push_back({ id, "dc", leaving == id });
+    supervisor.SetDatabases(list);
+  }
+  void Pass(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
+
+  /** Lets the supervisor find the first primary. */
+  void Begin()
+  {
+    Pass(500ms);
+    BOOST_REQUIRE(stored.has_value());
+    BOOST_TEST(stored->primary == "a");
+  }
+
+  bool HoldsDuty(Core::Duration) const override { return holdsDuty; }
+  bool IsLostToOthers(const std::string&, Core::Duration) const override
+  {
+    return !othersReachPrimary;
+  }
+  void Probe(const std::string& aId,
+             Core::Duration aTimeout,
+             ProbeHandler aDone) override
+  {
+    const bool answers = members.contains(aId) && members[aId].isReachable;
+    time.DeferFor(answers ? 2ms : aTimeout, [this, answers, aId, aDone] {
+      Authority::ProbeOutcome outcome;
+      if (answers)
+        outcome.status = members[aId].status;
+      aDone(outcome);
+    });
+  }
+  void StepDown(const std::string& aId,
+                Session::Term aTerm,
+                Core::Duration aTimeout,
+                ProbeHandler aDone) override
+  {
+    FakeMember& member = members[aId];
+    if (member.isReachable && member.status.term < aTerm)
+      member.status.isPrimary = false;
+    Probe(aId, aTimeout, std::move(aDone));
+  }
+  void Promote(const std::string&,
+               const std::string& aId,
+               Core::Duration,
+               std::function<void(PromoteResult)> aDone) override
+  {
+    promoted.push_back(aId);
+    promotedAt = time.Now();
+    time.DeferFor(2ms, [aDone] { aDone(PromoteResult::Accepted); });
+    // The platform changes nothing for a database that leads already.
+    if (members[aId].status.isPrimary)
+      return;
+    time.DeferFor(600ms, [this, aId] {
+      if (!promotionsWork)
+        return;
+      members[aId].status.isPrimary = true;
+      ++members[aId].status.term;
+    });
+  }
+  void WriteRecord(
+    const GroupRecord& aRecord,
+    std::function<void(Authority::WriteOutcome)> aDone) override
+  {
+    if (!stored || stored->version == aRecord.version) {
+      stored = aRecord;
+      stored->version = ++version;
+      if (aRecord.change && !changeBeganAt)
+        changeBeganAt = time.Now();
+      Reply(aDone, { WriteResult::Applied, version });
+      return;
+    }
+    Reply(aDone, { WriteResult::Conflict, 0 });
+  }
+  void Reply(const std::function<void(Authority::WriteOutcome)>& aDone,
+             Authority::WriteOutcome aOutcome)
+  {
+    time.DeferFor(4ms, [aDone, aOutcome] { aDone(aOutcome); });
+  }
+  void RevokeEverywhere(const GroupRecord&,
+                        std::function<void()> aDone) override
+  {
+    if (allNodesAnswer)
+      time.DeferFor(3ms, aDone);
+  }
+  void Log(std::string_view, boost::json::object) override {}
+
+  Simulation::VirtualTime time;
+  std::map<std::string, FakeMember> members;
+  std::string leaving;
+  bool holdsDuty = true;
+  bool othersReachPrimary = false;
+  bool allNodesAnswer = true;
+  bool promotionsWork = true;
+  std::optional<GroupRecord> stored;
+  std::uint64_t version = 10;
+  std::vector<std::string> promoted;
+  Core::Instant promotedAt{};
+  std::optional<Core::Instant> changeBeganAt;
+  Authority::GroupSupervisor supervisor;
+  Core::TimerHandle timer;
+};
+
+/** When a promotion may come at the earliest, after the change has begun. */
+struct FenceCase
+{
+  const char* name;
+  bool isPrimaryReachable;
+  bool doAllNodesAnswer;
+  Core::Duration earliest;
+  Core::Duration latest;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const FenceCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const FenceCase kFences[] = {
+  { "all nodes agree", false, true, 0ms, 700ms },
+  { "dark primary, a node without answer", false, false, 7700ms, 8500ms },
+  { "stepped down, a node without answer", true, false, 1400ms, 2200ms },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE_F(Fixture, WaitsUntilNobodyUsesThePrimary, kFences)
+{
+  Begin();
+  allNodesAnswer = sample.doAllNodesAnswer;
+  if (sample.isPrimaryReachable) {
+    leaving = "a";
+    ListAll();
+  } else {
+    members["a"].isReachable = false;
+  }
+  Pass(11s);
+  BOOST_REQUIRE(promoted.size() == 1);
+  const Core::Duration waited = promotedAt - *changeBeganAt;
+  BOOST_CHECK(waited >= sample.earliest);
+  BOOST_CHECK(waited <= sample.latest);
+  BOOST_TEST(!stored->change.has_value());
+  BOOST_TEST(stored->term == 2U);
+  BOOST_TEST(stored->primary == promoted.front());
+}
+
+BOOST_FIXTURE_TEST_SUITE(Supervisor, Fixture)
+
+BOOST_AUTO_TEST_CASE(LeavesAHealthyPrimaryAlone)
+{
+  Begin();
+  Pass(20s);
+  BOOST_TEST(promoted.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ChoosesTheLongestLog)
+{
+  Begin();
+  members["c"].status.received = { 1, 120 };
+  members["a"].isReachable = false;
+  Pass(4s);
+  BOOST_TEST(stored->primary == "c");
+  BOOST_TEST(stored->starts.back().position == 120U);
+}
+
+BOOST_AUTO_TEST_CASE(NeverChoosesADatabaseThatCameBackEmpty)
+{
+  Begin();
+  members["b"].status.received = { 0, 0 };
+  members["c"].status.received = { 1, 3 };
+  members["a"].isReachable = false;
+  Pass(4s);
+  BOOST_TEST(stored->primary == "c");
+}
+
+BOOST_AUTO_TEST_CASE(WaitsForALeavingPrimarysLogToArrive)
+{
+  Begin();
+  members["a"].status.received = { 1, 105 };
+  time.DeferFor(200ms, [this] {
+    members["b"].status.received = { 1, 105 };
+  });
+  leaving = "a";
+  ListAll();
+  Pass(4s);
+  BOOST_TEST(stored->primary == "b");
+}
+
+BOOST_AUTO_TEST_CASE(APrimaryThatMostNodesReachIsKept)
+{
+  Begin();
+  othersReachPrimary = true;
+  members["a"].isReachable = false;
+  Pass(5s);
+  BOOST_TEST(promoted.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WithoutTheDutyNothingIsDone)
+{
+  Begin();
+  holdsDuty = false;
+  members["a"].isReachable = false;
+  Pass(20s);
+  BOOST_TEST(promoted.empty());
+  BOOST_TEST(!stored->change.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(FinishesThePredecessorsChange)
+{
+  Begin();
+  holdsDuty = false;
+  Pass(100ms);
+  stored->change = Authority::PrimaryChange{ "c" };
+  stored->version = ++version;
+  members["a"].isReachable = false;
+  supervisor.SetRecord(stored);
+  holdsDuty = true;
+  Pass(3s);
+  BOOST_TEST(stored->primary == "c");
+  BOOST_TEST(promoted.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(FindsThatThePredecessorsPromotionHasWorked)
+{
+  Begin();
+  holdsDuty = false;
+  Pass(100ms);
+  stored->change = Authority::PrimaryChange{ "c" };
+  stored->version = ++version;
+  members["c"].status.isPrimary = true;
+  members["c"].status.term = 2;
+  members["a"].isReachable = false;
+  supervisor.SetRecord(stored);
+  holdsDuty = true;
+  Pass(3s);
+  BOOST_TEST(stored->primary == "c");
+  BOOST_TEST(promoted.empty());
+}
+
+/**
+ * A primary that left before it was replaced has handed its log and its lead
+ * to a new database, in the same term: the platform takes orders to promote
+ * that one and does nothing, since it leads already.
+ */
+BOOST_AUTO_TEST_CASE(RecordsAnHeirThatLeadsTheSameTerm)
+{
+  Begin();
+  members.erase("a");
+  members["d"].status = { true, 1, { 1, 100 }, {}, 0, 0 };
+  ListAll();
+  Pass(6s);
+  BOOST_TEST(stored->primary == "d");
+  BOOST_TEST(stored->term == 1U);
+  BOOST_TEST(!stored->change.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TakesAChangeBackWhenNobodyElseAnswers)
+{
+  Begin();
+  members["a"].isReachable = false;
+  members["b"].isReachable = false;
+  members["c"].isReachable = false;
+  Pass(2s);
+  BOOST_REQUIRE(stored->change.has_value());
+  members["a"].isReachable = true;
+  members["a"].status.isPrimary = true;
+  Pass(3s);
+  BOOST_TEST(!stored->change.has_value());
+  BOOST_TEST(stored->primary == "a");
+}
+
+BOOST_AUTO_TEST_CASE(BeginsAnewWhenAnotherNodeHasEndedTheChange)
+{
+  Begin();
+  allNodesAnswer = false;
+  members["a"].isReachable = false;
+  Pass(3s);
+  BOOST_REQUIRE(stored->change.has_value());
+  stored->Complete("b", 2, 100);
+  stored->version = ++version;
+  members["b"].status.isPrimary = true;
+  members["b"].status.term = 2;
+  supervisor.SetRecord(stored);
+  Pass(10s);
+  BOOST_TEST(promoted.empty());
+  BOOST_TEST(stored->primary == "b");
+}
+
+BOOST_AUTO_TEST_CASE(APromotionWithoutEffectIsTriedAgain)
+{
+  Begin();
+  promotionsWork = false;
+  members["a"].isReachable = false;
+  Pass(4s);
+  promotionsWork = true;
+  Pass(6s);
+  BOOST_TEST(promoted.size() >= 2U);
+  BOOST_TEST(stored->term == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibAuthority/TestLeases.cpp
+++ b/Tests/LibAuthority/TestLeases.cpp
@@ -10,7 +10,6 @@
 using namespace std::chrono_literals;
 using Authority::DutyLease;
 using Authority::GroupRecord;
-using Authority::StoredRow;
 using Authority::WriteResult;
 using Core::Instant;
 
@@ -185,8 +184,8 @@
   authority.Renew(kStart + 2ms);
   BOOST_TEST(!authority.Holds(kStart + 3ms));
   authority.Observe(RecordOf(2, 5), kStart + 4ms);
-  BOOST_TEST(authority.HoldsFor(2, kStart + 5ms));
-  BOOST_TEST(!authority.HoldsFor(1, kStart + 5ms));
+  BOOST_TEST(authority.HoldsFor("db2", 2, kStart + 5ms));
+  BOOST_TEST(!authority.HoldsFor("db1", 1, kStart + 5ms));
 }
 
 BOOST_AUTO_TEST_CASE(ANewTermBeginsWithoutTheOldTermsLease)
--- a/Tests/LibPooler/TestClientSession.cpp
+++ b/Tests/LibPooler/TestClientSession.cpp
@@ -41,9 +41,9 @@
     router.SetDatabases({ Listed("p"), Listed("a"), Listed("b") });
     router.SetConnectionLimit(2);
     Renew();
-    Route_("strong", Consistency::Strong);
-    Route_("bounded", Consistency::BoundedStaleness);
-    Route_("own", Consistency::ReadYourWrites);
+    AddRoute("strong", Consistency::Strong);
+    AddRoute("bounded", Consistency::BoundedStaleness);
+    AddRoute("own", Consistency::ReadYourWrites);
   }
   ~Fixture() override
   {
@@ -135,7 +135,7 @@
   int closed = 0;
 
 private:
-  void Route_(const std::string& aName, Consistency aConsistency)
+  void AddRoute(const std::string& aName, Consistency aConsistency)
   {
     Pooler::Route route;
     route.name = aName;
