--- a/Libraries/LibSettings/NodeSettingsTable.cpp
+++ b/Libraries/LibSettings/NodeSettingsTable.cpp
@@ -74,7 +74,7 @@
       "ms",
       1,
       kMaxMilliseconds,
-      "7500",
+      "9000",
       "How long a primary may be used without asking whether it still is." },
     { "authority.read_lease_ms",
       SettingType::Integer,
