LibPooler: Serve those in time before those who are late

Pattern: overload of one database; TestConnectionPool has it without a network. Change: of those who wait, the one that is due first among those who can still be in time; late ones use what is left.

--- a/Libraries/LibPooler/ConnectionPool.cpp
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -101,11 +101,19 @@
   });
 }
 
+ConnectionPool::Waiters::iterator
+ConnectionPool::NextWaiter()
+{
+  const Core::Duration usual(static_cast<long long>(averageMicroseconds_));
+  const auto inTime = waiters_.lower_bound({ scheduler_.Now() + usual, 0 });
+  return inTime == waiters_.end() ? waiters_.begin() : inTime;
+}
+
 void
 ConnectionPool::Serve()
 {
   while (!waiters_.empty() && !idle_.empty()) {
-    auto node = waiters_.extract(waiters_.begin());
+    auto node = waiters_.extract(NextWaiter());
     PooledConnectionHandle connection = TakeIdle(node.mapped().values);
     ++inUse_;
     const std::shared_ptr<bool> alive = alive_;
--- a/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
+++ b/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
@@ -33,7 +33,7 @@
 
 /**
  * This node's connections to one database. At most a limit are open; those who
- * wait are served in the order of their ranks.
+ * wait are served by when they are due.
  */
 class ConnectionPool
 {
@@ -111,6 +111,15 @@
     Receiver receiver;
   };
 
+  using Waiters = std::map<Rank, Waiter>;
+
+  /**
+   * Who is served next: of those who can still be answered by when they are
+   * due, the one that is due first; else the one that has been late longest.
+   * When there is too little for all, those who are late would otherwise make
+   * everybody after them late as well.
+   */
+  Waiters::iterator NextWaiter();
   PooledConnectionHandle TakeIdle(const Values& aValues);
   void Serve();
   void DialIfNeeded();
@@ -127,7 +136,7 @@
   int dialling_ = 0;
   bool isRetired_ = false;
   std::list<PooledConnectionHandle> idle_;
-  std::map<Rank, Waiter> waiters_;
+  Waiters waiters_;
   std::uint64_t lastTicket_ = 0;
   std::uint64_t dials_ = 0;
   int failedDials_ = 0;
