LibPeers: Pass connections on to databases that a node can't reach

Change: each node takes connections of others and passes them on, for databases that it knows; a node that can't connect goes through another one, and tries the direct way again every two seconds.

--- a/Libraries/LibPooler/MemberRoster.cpp
+++ b/Libraries/LibPooler/MemberRoster.cpp
@@ -11,6 +11,7 @@
                                   { "incarnation", aMember.incarnation },
                                   { "data_centre", aMember.dataCentre },
                                   { "address", aMember.address.ToText() },
+                                  { "relay", aMember.relay.ToText() },
                                   { "expelled", aMember.isExpelled } };
   return { std::string(kKeyPrefix) + aMember.Key(),
            boost::json::serialize(json),
@@ -36,9 +37,12 @@
     member.isExpelled = fields.at("expelled").as_bool();
     const auto address = Wire::Address::Parse(
       std::string(fields.at("address").as_string()), aReason);
-    if (!address)
+    const auto relay = Wire::Address::Parse(
+      std::string(fields.at("relay").as_string()), aReason);
+    if (!address || !relay)
       return false;
     member.address = *address;
+    member.relay = *relay;
   } catch (const std::exception& error) {
     aReason.Set("the member " + key + " can't be read: " + error.what());
     return false;
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -180,6 +180,26 @@
   }
 }
 
+void
+Node::ShareRelays()
+{
+  std::vector<Wire::Address> relays;
+  for (const Member& member : membership_.Roster().Present()) {
+    if (member.Key() != memberKey_)
+      relays.push_back(member.relay);
+  }
+  links_.relays.SetRelays(std::move(relays));
+}
+
+std::optional<Wire::Address>
+Node::AddressOf(const std::string& aDatabase) const
+{
+  const auto database = databases_.find(aDatabase);
+  if (database == databases_.end())
+    return std::nullopt;
+  return Wire::Address{ database->second.host, database->second.port };
+}
+
 void
 Node::ApplyOwnRows(const OwnRows& aRows)
 {
@@ -195,8 +215,10 @@
   for (auto& [name, router] : routers_)
     router->RenewAuthority(askedAt);
   duty_.OnRowsApplied(aRows.version);
-  if (!aRows.rows.empty())
-    ShareConnections();
+  if (aRows.rows.empty())
+    return;
+  ShareConnections();
+  ShareRelays();
 }
 
 void
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -379,8 +379,7 @@
 StatementRun::OnSuccess(Sql::DatabaseReply aReply)
 {
   const bool endsTransaction = IsInTransaction() && IsCommit();
-  if (MayHaveWritten() &&
-      !HasAuthority()) {
+  if (MayHaveWritten() && !HasAuthority()) {
     // Another primary may have been promoted without this write.
     ReturnConnection(true);
     Fail(Sql::ErrorCode::InDoubt, "the primary may have been replaced");
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -6,6 +6,7 @@
 #include <LibPooler/Fleet.h>
 #include <LibPooler/GroupRouter.h>
 #include <LibPooler/Membership.h>
+#include <LibPooler/RelayBook.h>
 
 #include <map>
 #include <memory>
@@ -32,6 +33,7 @@
   Authority::CoordinationStore& store;
   Promoter& promoter;
   PeerLink& peers;
+  RelayBook& relays;
 };
 
 /**
@@ -93,6 +95,9 @@
   std::vector<RelayedRecord> RecordsFor(
     const std::string& aMemberKey) const override;
 
+  /** Where a database that the platform lists answers. */
+  std::optional<Wire::Address> AddressOf(const std::string& aDatabase) const;
+
   /** Sets the gauges that are read rather than counted. */
   void UpdateGauges();
 
@@ -103,6 +108,7 @@
   GroupRouter& RouterOf(const std::string& aName);
   void ShareDatabases();
   void ShareConnections();
+  void ShareRelays();
   void Tick();
   void KeepSamplesFresh();
   void SampleGroup(GroupRouter& aRouter);
--- a/Libraries/LibPooler/include/LibPooler/Peers.h
+++ b/Libraries/LibPooler/include/LibPooler/Peers.h
@@ -22,6 +22,8 @@
   std::string dataCentre;
   /** Where it answers its peers. */
   Wire::Address address;
+  /** Where it passes connections on to databases. */
+  Wire::Address relay;
   /** It is taken to be gone, though its authority may not have ended yet. */
   bool isExpelled = false;
   /** The version of its row. */
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -51,6 +51,7 @@
   result.self.dataCentre = aSettings.Text("node.data_centre");
   result.self.incarnation = Core::Random::FromSystem().Hex(kIncarnationDigits);
   result.self.address = aSettings.Address("listen.peers");
+  result.self.relay = aSettings.Address("listen.relay");
   result.authorityLease.fenced =
     milliseconds(aSettings.Integer("authority.lease_ms"));
   result.authorityLease.plainReads =
@@ -71,18 +72,23 @@
                        const Settings::ProcessSettings& aSettings)
   : loop_(aLoop)
   , settings_(aSettings)
-  , dialer_(aLoop)
+  , relayBook_(aLoop)
+  , dialer_(aLoop, relayBook_)
   , store_(aLoop, aSettings.Address("platform.store"), metrics_)
   , promoter_(aLoop, aSettings.Address("platform.promotions"))
   , peerClient_(aLoop)
   , node_(aLoop,
           ToNodeSettings(aSettings),
-          { dialer_, store_, promoter_, peerClient_ },
+          { dialer_, store_, promoter_, peerClient_, relayBook_ },
           metrics_,
           Core::LogChange)
   , feeds_(aLoop, store_, node_)
   , door_(aLoop, node_)
   , peerServer_(aLoop, node_)
+  , relayServer_(aLoop,
+                 [this](const std::string& aDatabase) {
+                   return node_.AddressOf(aDatabase);
+                 })
   , readiness_(aLoop)
   , metricsServer_(aLoop)
 {
@@ -128,6 +134,7 @@
 NodeServer::Start(Core::LastReason& aReason)
 {
   if (!peerServer_.Listen(settings_.Address("listen.peers"), aReason) ||
+      !relayServer_.Listen(settings_.Address("listen.relay"), aReason) ||
       !door_.Listen(settings_.Address("listen.clients"), aReason) ||
       !Listen(readiness_, settings_.Address("listen.readiness"), aReason) ||
       !Listen(metricsServer_, settings_.Address("listen.metrics"), aReason))
--- a/Services/Node/NodeServer.h
+++ b/Services/Node/NodeServer.h
@@ -8,6 +8,7 @@
 
 #include <LibPeers/PeerClient.h>
 #include <LibPeers/PeerServer.h>
+#include <LibPeers/RelayServer.h>
 #include <LibSettings/ProcessSettings.h>
 #include <LibWire/HttpServer.h>
 
@@ -34,6 +35,7 @@
   Core::Loop& loop_;
   Settings::ProcessSettings settings_;
   Metrics::Registry metrics_;
+  Pooler::RelayBook relayBook_;
   Adapter::LineDialer dialer_;
   Adapter::StoreClient store_;
   Adapter::PromoteClient promoter_;
@@ -42,6 +44,7 @@
   Adapter::PlatformFeeds feeds_;
   Adapter::ClientDoor door_;
   Peers::PeerServer peerServer_;
+  Peers::RelayServer relayServer_;
   Wire::HttpServer readiness_;
   Wire::HttpServer metricsServer_;
   Core::Instant stopBegan_{};
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -120,9 +120,8 @@
       ++members[aId].status.term;
     });
   }
-  void WriteRecord(
-    const GroupRecord& aRecord,
-    std::function<void(Authority::WriteOutcome)> aDone) override
+  void WriteRecord(const GroupRecord& aRecord,
+                   std::function<void(Authority::WriteOutcome)> aDone) override
   {
     if (!stored || stored->version == aRecord.version) {
       stored = aRecord;
@@ -240,9 +239,7 @@
 {
   Begin();
   members["a"].status.received = { 1, 105 };
-  time.DeferFor(200ms, [this] {
-    members["b"].status.received = { 1, 105 };
-  });
+  time.DeferFor(200ms, [this] { members["b"].status.received = { 1, 105 }; });
   leaving = "a";
   ListAll();
   Pass(4s);
