Tests: Run two nodes on loopback against stand-ins that speak the platform's protocol

Cause: platform/ was tested in pieces only. Change: a store with conditional writes, feeds and the promote call, and databases with logs, terms, transactions and STEPDOWN, both by the codec of platform/; sessions, transactions, oversized messages, configuration, a lost primary, an outage of the store, lost answers and a stop, end to end. The shortest duty lease is checked: with 1 s the holder never had time for a call to promote, which the test of a lost primary showed.

--- a/Libraries/LibSettings/NodeSettingsTable.cpp
+++ b/Libraries/LibSettings/NodeSettingsTable.cpp
@@ -6,6 +6,9 @@
 
 constexpr std::int64_t kMaxMilliseconds = 3'600'000;
 
+/** A shorter lease never outlasts a call to promote a database. */
+constexpr std::int64_t kLeastDutyMilliseconds = 1600;
+
 } // namespace
 
 const SettingsTable&
@@ -93,7 +96,7 @@
     { "duty.lease_ms",
       SettingType::Integer,
       "ms",
-      1,
+      kLeastDutyMilliseconds,
       kMaxMilliseconds,
       "2000",
       "How long the failover duty is held without being renewed." },
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -8,7 +8,6 @@
 
 #include <map>
 
-namespace data = boost::unit_test::data;
 using namespace std::chrono_literals;
 using Authority::GroupRecord;
 using Authority::PromoteResult;
--- a/Tests/LibPooler/TestMembership.cpp
+++ b/Tests/LibPooler/TestMembership.cpp
@@ -74,12 +74,12 @@
   void Write(const StoredRow& aRow,
              std::function<void(WriteOutcome)> aDone) override
   {
-    Change(aRow, false, std::move(aDone));
+    Change(aRow, false, aDone);
   }
   void Remove(const StoredRow& aRow,
               std::function<void(WriteOutcome)> aDone) override
   {
-    Change(aRow, true, std::move(aDone));
+    Change(aRow, true, aDone);
   }
   void Read(const std::string&,
             std::function<void(std::optional<StoredRow>)>) override
--- /dev/null
+++ b/Tests/Platform/StandInStore.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <LibCore/Loop.h>
+#include <LibWire/HttpServer.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace StandIns {
+
+/** The platform's store and its promote call, in memory. */
+class StandInStore
+{
+public:
+  /** Called with group and database for each order to promote. */
+  using PromoteHandler =
+    std::function<void(const std::string&, const std::string&)>;
+
+  explicit StandInStore(Core::Loop& aLoop);
+
+  Wire::Address Start();
+
+  /** Writes a row as the operator or a database does. */
+  void Put(const std::string& aTable,
+           const std::string& aKey,
+           const std::string& aValue);
+  void Remove(const std::string& aTable, const std::string& aKey);
+  void OnPromote(PromoteHandler aHandler) { onPromote_ = std::move(aHandler); }
+
+  /** Every call is refused while this is set. */
+  bool isDown = false;
+  /** So many changes are made and not answered. */
+  int answersToLose = 0;
+
+private:
+  struct Row
+  {
+    std::string value;
+    std::uint64_t version = 0;
+    bool isRemoved = false;
+  };
+  using Table = std::map<std::string, Row>;
+  struct Waiter
+  {
+    std::string table;
+    std::uint64_t after = 0;
+    Wire::HttpReplyHandle reply;
+    Core::TimerHandle timer;
+  };
+
+  void AddRoutes();
+  void Read(const Wire::HttpRequest& aRequest,
+            const Wire::HttpReplyHandle& aReply);
+  void Follow(const Wire::HttpRequest& aRequest,
+              const Wire::HttpReplyHandle& aReply);
+  void Change(const Wire::HttpRequest& aRequest,
+              const Wire::HttpReplyHandle& aReply);
+  void Promote(const Wire::HttpRequest& aRequest,
+               const Wire::HttpReplyHandle& aReply);
+  boost::json::array RowsAfter(const std::string& aTable, std::uint64_t aAfter);
+  void SendRows(const Wire::HttpReplyHandle& aReply, boost::json::array aRows);
+  void WakeWaiters();
+
+  Core::Loop& loop_;
+  Wire::HttpServer server_;
+  std::map<std::string, Table> tables_;
+  std::uint64_t version_ = 0;
+  std::map<std::uint64_t, Waiter> waiters_;
+  std::uint64_t lastWaiter_ = 0;
+  PromoteHandler onPromote_;
+};
+
+} // namespace StandIns
--- /dev/null
+++ b/Tests/Platform/TestNodeOnLoopback.cpp
@@ -0,0 +1,319 @@
+#define BOOST_TEST_MODULE NodeOnLoopback
+#include <boost/test/unit_test.hpp>
+
+#include "NodeServer.h"
+#include "StandInDatabases.h"
+#include "StandInStore.h"
+
+#include <LibWire/HttpClient.h>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kOversized = std::size_t{ 3 } << 20U;
+
+/** Far longer than anything here takes; a failure, not a measure. */
+constexpr Core::Duration kPatience = 20s;
+
+/** A port that nobody listens on; it may be taken by the time it is used. */
+std::uint16_t
+FreePort(Core::Loop& aLoop)
+{
+  Wire::LineServer server(aLoop, [](int) {});
+  Core::LastReason reason;
+  return server.Listen({ "127.0.0.1", 0 }, reason).value().port;
+}
+
+/** A client's session; collects the lines that come. */
+class Client final : public Wire::LineListener
+{
+public:
+  Client(Core::Loop& aLoop, const Wire::Address& aAddress)
+    : connection(
+        std::make_unique<Wire::LineConnection>(aLoop, aAddress, 5s, *this))
+  {
+  }
+  void OnLine(std::string_view aLine) override { lines.emplace_back(aLine); }
+  void OnEnd(Wire::LineEnd) override { isEnded = true; }
+
+  std::unique_ptr<Wire::LineConnection> connection;
+  std::vector<std::string> lines;
+  bool isEnded = false;
+};
+
+/** A store, a group of three databases, and two nodes. */
+class Fixture
+{
+public:
+  Fixture()
+    : store(loop)
+  {
+    storeAddress = store.Start();
+    for (const std::string id : { "i-a", "i-b", "i-c" })
+      AddDatabase(id);
+    databases["i-a"]->isPrimary = true;
+    databases["i-a"]->replicas = { databases["i-b"].get(),
+                                   databases["i-c"].get() };
+    store.OnPromote(
+      [this](const std::string&, const std::string& aId) { Promote(aId); });
+    Configure(1, "shop");
+    // An entry from another writer names no database.
+    store.Put("servers", "strange", "\xff\xfe not json");
+    nodes.push_back(StartNode("n1"));
+    nodes.push_back(StartNode("n2"));
+  }
+  ~Fixture()
+  {
+    clients.clear();
+    nodes.clear();
+  }
+
+  void AddDatabase(const std::string& aId)
+  {
+    auto database =
+      std::make_unique<StandIns::StandInDatabase>(loop, "g1", aId);
+    const std::string address = database->Start().ToText();
+    store.Put("servers",
+              aId,
+              R"({"service":"g1","address":")" + address +
+                R"(","zone":"z","slots":5,"state":"ready","born":1,"seq":1})");
+    databases[aId] = std::move(database);
+  }
+
+  void Promote(const std::string& aId)
+  {
+    StandIns::StandInDatabase& next = *databases.at(aId);
+    next.isPrimary = true;
+    next.term = 2;
+    next.replicas.clear();
+  }
+
+  void Configure(int aVersion, const std::string& aDatabase)
+  {
+    store.Put("op",
+              "config",
+              R"({"version":)" + std::to_string(aVersion) +
+                R"(,"routes":[{"name":"r1","host":")" + aDatabase +
+                R"(","service":"g1","kind":"read_your_writes","timeout-ms":3000,
+           "target-latency-ms":400,"max-staleness-ms":2500,"priority":1}],
+           "services":[{"name":"g1","max-conns":34}],
+           "limits":{"tx-idle-ms":60000}})");
+  }
+
+  std::unique_ptr<NodeServer> StartNode(const std::string& aName)
+  {
+    const auto address = [this] {
+      return "127.0.0.1:" + std::to_string(FreePort(loop));
+    };
+    const std::string clientsAt = address();
+    const std::string text =
+      "[node]\nname = " + aName +
+      "\ndata_centre = z\n[listen]\nclients = " + clientsAt +
+      "\nreadiness = " + address() + "\nmetrics = " + address() +
+      "\npeers = " + address() + "\nrelay = " + address() +
+      "\n[platform]\nstore = " + storeAddress.ToText() +
+      "\npromotions = " + storeAddress.ToText() +
+      "\n[authority]\nlease_ms = 3000\n";
+    Core::Findings findings;
+    const auto settings = Settings::ProcessSettings::Parse(
+      text, "test", findings, Settings::NodeSettingsTable());
+    BOOST_REQUIRE_MESSAGE(settings, findings.ToText());
+    auto node = std::make_unique<NodeServer>(loop, *settings);
+    Core::LastReason reason;
+    BOOST_REQUIRE_MESSAGE(node->Start(reason), reason.Text());
+    entries.push_back(settings->Address("listen.clients"));
+    readiness.push_back(settings->Address("listen.readiness"));
+    return node;
+  }
+
+  /** Runs the loop until aIsDone; false if that takes too long. */
+  bool RunUntil(const std::function<bool()>& aIsDone)
+  {
+    const Core::Instant end = loop.Now() + kPatience;
+    bool isDone = false;
+    const auto check = loop.Every(5ms, [&] {
+      isDone = aIsDone();
+      if (isDone || loop.Now() > end)
+        loop.Stop();
+    });
+    loop.Run();
+    return isDone;
+  }
+
+  Client& Connect(std::size_t aNode, const std::string& aDatabase = "shop")
+  {
+    clients.push_back(std::make_unique<Client>(loop, entries[aNode]));
+    clients.back()->connection->Write("STARTUP " + aDatabase + " me\r\n");
+    return *clients.back();
+  }
+
+  /** Sends aText and gives the lines up to READY, joined by blanks. */
+  std::string Ask(Client& aClient, const std::string& aText)
+  {
+    aClient.lines.clear();
+    aClient.connection->Write("QUERY q1 " + aText + "\r\n");
+    BOOST_REQUIRE(RunUntil([&] {
+      return aClient.isEnded || (!aClient.lines.empty() &&
+                                 aClient.lines.back().starts_with("READY"));
+    }));
+    std::string joined;
+    for (const std::string& line : aClient.lines)
+      joined += (joined.empty() ? "" : " ") + line;
+    return joined;
+  }
+
+  /** A session on a node that serves, and that has written once. */
+  Client& ServingClient(std::size_t aNode)
+  {
+    for (;;) {
+      Client& client = Connect(aNode);
+      BOOST_REQUIRE(
+        RunUntil([&] { return !client.lines.empty() || client.isEnded; }));
+      const bool isOpen = client.lines.front() == "READY I -";
+      if (isOpen && Ask(client, "STORE warm up").starts_with("COMPLETE"))
+        return client;
+    }
+  }
+
+  int ReadyStatus(std::size_t aNode)
+  {
+    Wire::HttpClient http(loop, "test");
+    int status = -1;
+    Wire::HttpCall call;
+    call.target = "/readyz";
+    call.timeout = 2s;
+    http.Call(readiness[aNode], call, [&](const Wire::HttpOutcome& aOutcome) {
+      status = aOutcome.answer.status;
+    });
+    RunUntil([&] { return status != -1; });
+    return status;
+  }
+
+  Core::Loop loop;
+  StandIns::StandInStore store;
+  Wire::Address storeAddress;
+  std::map<std::string, std::unique_ptr<StandIns::StandInDatabase>> databases;
+  std::vector<std::unique_ptr<NodeServer>> nodes;
+  std::vector<Wire::Address> entries;
+  std::vector<Wire::Address> readiness;
+  std::vector<std::unique_ptr<Client>> clients;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Loopback, Fixture)
+
+BOOST_AUTO_TEST_CASE(ASessionReadsWhatItWrote)
+{
+  Client& client = ServingClient(0);
+  BOOST_TEST(Ask(client, "STORE 1a4 some data") ==
+             "COMPLETE signed-i-a READY I -");
+  const std::string answer = Ask(client, "FETCH 1a4");
+  BOOST_TEST(answer.starts_with("DATAROW some data COMPLETE signed-"));
+  BOOST_TEST(ReadyStatus(0) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(ATransactionIsKeptTogether)
+{
+  Client& client = ServingClient(0);
+  BOOST_TEST(Ask(client, "BEGIN") == "COMPLETE - READY T -");
+  BOOST_TEST(Ask(client, "STORE k v1").ends_with("READY T -"));
+  Client& other = ServingClient(1);
+  BOOST_TEST(Ask(other, "FETCH k").starts_with("DATAROW - "));
+  BOOST_TEST(Ask(client, "COMMIT") == "COMPLETE signed-i-a READY I -");
+  BOOST_TEST(databases["i-a"]->ValueOf("k") == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(APreparedStatementRunsUnderItsClientsName)
+{
+  Client& client = ServingClient(0);
+  BOOST_TEST(Ask(client, "PARSE s1 STORE q2c") == "COMPLETE - READY I -");
+  BOOST_TEST(Ask(client, "EXECUTE s1 k v2").starts_with("COMPLETE signed-i-a"));
+  BOOST_TEST(databases["i-a"]->ValueOf("k") == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(AnUnknownDatabaseIsSaidSoAndTheSessionCloses)
+{
+  ServingClient(0);
+  Client& client = Connect(0, "nowhere");
+  BOOST_REQUIRE(RunUntil([&] { return client.isEnded; }));
+  BOOST_REQUIRE(!client.lines.empty());
+  BOOST_TEST(client.lines.front() == "ERROR NODB nowhere");
+}
+
+BOOST_AUTO_TEST_CASE(AMessageOverTheLimitGetsAnErrorThatTheClientCanRead)
+{
+  Client& client = ServingClient(0);
+  client.lines.clear();
+  client.connection->Write("QUERY q1 STORE k " + std::string(kOversized, 'x'));
+  BOOST_REQUIRE(RunUntil([&] { return client.isEnded; }));
+  BOOST_REQUIRE(!client.lines.empty());
+  BOOST_TEST(client.lines.front().starts_with("ERROR TOOLARGE"));
+}
+
+BOOST_AUTO_TEST_CASE(AConfigurationIsInForceOnAllNodes)
+{
+  ServingClient(0);
+  ServingClient(1);
+  Configure(2, "market");
+  for (const std::size_t node : { 0U, 1U }) {
+    bool isOpen = false;
+    for (int attempt = 0; attempt < 50 && !isOpen; ++attempt) {
+      Client& client = Connect(node, "market");
+      BOOST_REQUIRE(RunUntil([&] { return !client.lines.empty(); }));
+      isOpen = client.lines.front() == "READY I -";
+    }
+    BOOST_TEST(isOpen);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ALostPrimaryIsReplacedAndNothingAcknowledgedIsLost)
+{
+  Client& client = ServingClient(0);
+  Ask(client, "STORE k before");
+  databases["i-a"]->Kill();
+  std::string answer;
+  const Core::Instant end = loop.Now() + kPatience;
+  do {
+    answer = Ask(client, "STORE k after");
+  } while (!answer.starts_with("COMPLETE") && loop.Now() < end);
+  BOOST_TEST(answer.starts_with("COMPLETE signed-"));
+  BOOST_TEST(!answer.starts_with("COMPLETE signed-i-a"));
+  BOOST_TEST(Ask(client, "FETCH k").starts_with("DATAROW after "));
+}
+
+BOOST_AUTO_TEST_CASE(WithTheStoreDownEverythingGoesOnForALease)
+{
+  Client& client = ServingClient(0);
+  store.isDown = true;
+  const Core::Instant begin = loop.Now();
+  RunUntil([&] { return loop.Now() - begin > 1500ms; });
+  BOOST_TEST(Ask(client, "STORE k v").starts_with("COMPLETE signed-i-a"));
+  store.isDown = false;
+  RunUntil([&] { return loop.Now() - begin > 4500ms; });
+  BOOST_TEST(Ask(client, "STORE k w").starts_with("COMPLETE signed-i-a"));
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswersOfTheStoreDoNoHarm)
+{
+  store.answersToLose = 6;
+  Client& client = ServingClient(1);
+  BOOST_TEST(Ask(client, "STORE k v").starts_with("COMPLETE signed-i-a"));
+}
+
+BOOST_AUTO_TEST_CASE(AStopSendsClientsElsewhereAndLetsTransactionsEnd)
+{
+  Client& resting = ServingClient(0);
+  Client& busy = ServingClient(0);
+  Ask(busy, "BEGIN");
+  Ask(busy, "STORE k v");
+  resting.isEnded = false;
+  nodes[0]->Stop();
+  BOOST_TEST(ReadyStatus(0) == 503);
+  BOOST_REQUIRE(RunUntil([&] { return resting.isEnded; }));
+  BOOST_TEST(!busy.isEnded);
+  BOOST_TEST(Ask(busy, "COMMIT").starts_with("COMPLETE signed-i-a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
