LibPooler: Run a read without an answer at another database as well

Cause: reads that a dark or stalled replica had got waited for a second, the statement's whole time, and new ones followed until the first timed out. Pattern: a replica that answers nobody; TestClientSession has it. Change: after four times the usual latency (250 ms at least) another database is asked too, the quicker answer is taken, the slower connection is kept; a database that has answered nobody since is avoided.

--- a/Libraries/LibPooler/ConnectionPool.cpp
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -104,8 +104,8 @@
 ConnectionPool::Waiters::iterator
 ConnectionPool::NextWaiter()
 {
-  const Core::Duration usual(static_cast<long long>(averageMicroseconds_));
-  const auto inTime = waiters_.lower_bound({ scheduler_.Now() + usual, 0 });
+  const auto inTime =
+    waiters_.lower_bound({ scheduler_.Now() + UsualLatency(), 0 });
   return inTime == waiters_.end() ? waiters_.begin() : inTime;
 }
 
@@ -264,6 +264,7 @@
 void
 ConnectionPool::RecordLatency(Core::Duration aLatency)
 {
+  answeredAt_ = scheduler_.Now();
   averageMicroseconds_ +=
     kLatencyWeight *
     (static_cast<double>(aLatency.count()) - averageMicroseconds_);
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -22,6 +22,13 @@
 /** Preparing takes a round trip; a connection that takes longer is silent. */
 constexpr Core::Duration kPreparationTimeout = std::chrono::milliseconds(300);
 
+/**
+ * Another database is asked when an answer takes this many times as long as
+ * usual, and not before the least delay: ordinary work varies by less.
+ */
+constexpr int kHedgeFactor = 4;
+constexpr Core::Duration kLeastHedgeDelay = std::chrono::milliseconds(250);
+
 /**
  * The share of the statement's time that may go by before it reaches a
  * database; what is left is needed to run it.
@@ -319,9 +326,78 @@
     command.atLeast = choice_.floor;
   else if (IsWrite())
     context_.transaction->hasWritten = true;
-  connection_->link->Send(command, Guard([this](Sql::DatabaseReply aReply) {
-                            OnReply(std::move(aReply));
-                          }));
+  attempt_ = std::make_shared<Attempt>(Attempt{ choice_.pool, connection_ });
+  connection_->link->Send(
+    command,
+    [this, alive = alive_, weak = std::weak_ptr(attempt_)](
+      Sql::DatabaseReply aReply) {
+      // The connection holds this, and the attempt holds the connection.
+      const auto attempt = weak.lock();
+      if (attempt == nullptr)
+        return;
+      attempt->isOver = true;
+      if (attempt->isDetached)
+        attempt->pool->Release(attempt->connection,
+                               aReply.isComplete &&
+                                 aReply.state == Sql::TransactionState::Idle);
+      if (!*alive)
+        return;
+      if (attempt->isDetached)
+        OnDetachedReply(std::move(aReply));
+      else
+        OnReply(std::move(aReply));
+    });
+  PlanHedge();
+}
+
+void
+StatementRun::PlanHedge()
+{
+  const bool mayHedge = !IsInTransaction() && !need_.needsPrimary &&
+                        result_.attempts < kMaxAttempts && !IsFencedRead();
+  if (!mayHedge)
+    return;
+  const Core::Duration patience = std::max<Core::Duration>(
+    kLeastHedgeDelay, choice_.pool->UsualLatency() * kHedgeFactor);
+  hedge_ = scheduler_.After(patience, [this] { Hedge(); });
+}
+
+void
+StatementRun::Hedge()
+{
+  // A database that answers nobody is left by those who come after.
+  if (choice_.pool->IsSilentSince(sentAt_))
+    choice_.pool->RecordFailure();
+  Detach();
+  TryElsewhere(true, Core::Duration::zero());
+}
+
+void
+StatementRun::Detach()
+{
+  hedge_.reset();
+  connection_.reset();
+  attempt_->isDetached = true;
+  scheduler_.DeferFor(context_.route.statementTimeout,
+                      [attempt = std::move(attempt_)] {
+                        if (std::exchange(attempt->isOver, true))
+                          return;
+                        attempt->pool->Release(attempt->connection, false);
+                      });
+}
+
+void
+StatementRun::OnDetachedReply(Sql::DatabaseReply aReply)
+{
+  if (!aReply.IsSuccess())
+    return;
+  // The first database was quicker after all.
+  if (phase_ == Phase::Sent && connection_ != nullptr)
+    Detach();
+  DropConnection();
+  result_.rows = std::move(aReply.rows);
+  result_.signature = std::move(aReply.signature);
+  Finish();
 }
 
 void
@@ -341,6 +417,7 @@
 void
 StatementRun::OnReply(Sql::DatabaseReply aReply)
 {
+  hedge_.reset();
   if (!aReply.isComplete) {
     choice_.pool->RecordFailure();
     OnLost();
@@ -561,6 +638,7 @@
   timeout_.reset();
   waitLimit_.reset();
   retry_.reset();
+  hedge_.reset();
   router_.CancelWait(std::exchange(changeTicket_, 0));
   if (choice_.pool != nullptr)
     choice_.pool->Cancel(std::exchange(poolTicket_, 0));
--- a/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
+++ b/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
@@ -88,6 +88,14 @@
   void RecordFailure();
   void RecordSuccess();
 
+  /** How long a statement usually takes once it has been sent. */
+  Core::Duration UsualLatency() const
+  {
+    return Core::Duration(static_cast<long long>(averageMicroseconds_));
+  }
+  /** True if no answer has come since aTime. */
+  bool IsSilentSince(Core::Instant aTime) const { return answeredAt_ < aTime; }
+
   /** How long a statement that is queued now would probably take. */
   Core::Duration ExpectedLatency() const;
   /** True while new work should rather go elsewhere. */
@@ -144,6 +152,7 @@
   Core::TimerHandle redial_;
   Core::TimerHandle sweep_;
   double averageMicroseconds_ = 0;
+  Core::Instant answeredAt_ = Core::Instant::min();
   int failures_ = 0;
   Core::Instant failedAt_{};
   std::optional<Session::LogPosition> position_;
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -87,6 +87,16 @@
 
   /** A single read runs in a transaction of our own, to be rolled back. */
   bool IsFencedRead() const;
+  /** A statement that a database has, and the connection that carries it. */
+  struct Attempt
+  {
+    std::shared_ptr<ConnectionPool> pool;
+    PooledConnectionHandle connection;
+    /** Another database has been asked meanwhile. */
+    bool isDetached = false;
+    bool isOver = false;
+  };
+
   bool IsFirstInTransaction() const;
   bool IsInTransaction() const;
   bool IsCommit() const;
@@ -105,6 +115,11 @@
   /** Nobody else can have been promoted in the chosen primary's place. */
   bool HasAuthority() const;
   bool MaySendNow() const;
+  /** Asks another database as well if the first one doesn't answer. */
+  void PlanHedge();
+  void Hedge();
+  void Detach();
+  void OnDetachedReply(Sql::DatabaseReply aReply);
   void OnReply(Sql::DatabaseReply aReply);
   void OnLost();
   void OnSuccess(Sql::DatabaseReply aReply);
@@ -135,6 +150,7 @@
   RoutingNeed need_;
   RoutingChoice choice_;
   PooledConnectionHandle connection_;
+  std::shared_ptr<Attempt> attempt_;
   int pendingPreparations_ = 0;
   bool hasPreparationFailed_ = false;
   std::uint64_t poolTicket_ = 0;
@@ -142,6 +158,7 @@
   Core::TimerHandle timeout_;
   Core::TimerHandle waitLimit_;
   Core::TimerHandle retry_;
+  Core::TimerHandle hedge_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/Tests/LibPooler/TestClientSession.cpp
+++ b/Tests/LibPooler/TestClientSession.cpp
@@ -358,6 +358,36 @@
   BOOST_TEST(servedBy.front() != "p");
 }
 
+/** Pattern: a dark replica holds the reads that it got, and gets more. */
+BOOST_AUTO_TEST_CASE(AReadAtASilentReplicaIsAlsoRunElsewhere)
+{
+  Ask(Open("strong"), StatementKind::Read, "FETCH 1", 100ms);
+  Ask(Open("bounded"), StatementKind::Read, "FETCH 2", 100ms);
+  const std::string first = servedBy.back();
+  databases.At(first).isDark = true;
+  const Answer answer =
+    Ask(Open("bounded"), StatementKind::Read, "FETCH 3", 400ms);
+  BOOST_TEST(!answer.error.has_value());
+  BOOST_TEST(servedBy.back() != first);
+  servedBy.clear();
+  Ask(Open("bounded"), StatementKind::Read, "FETCH 4", 50ms);
+  BOOST_TEST(servedBy.back() != first);
+}
+
+BOOST_AUTO_TEST_CASE(TheQuickerOfTwoAnswersIsTakenAndNoConnectionIsLost)
+{
+  Ask(Open("strong"), StatementKind::Read, "FETCH 1", 100ms);
+  databases.At("a").work = 300ms;
+  databases.At("b").work = 300ms;
+  databases.At("p").work = 300ms;
+  const Answer answer =
+    Ask(Open("bounded"), StatementKind::Read, "FETCH 2", 320ms);
+  BOOST_TEST(!answer.error.has_value());
+  Pass(2s);
+  for (const auto& [id, pool] : router.Pools())
+    BOOST_TEST(pool->InUse() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(AReplicaThatLagsSendsTheReadElsewhere)
 {
   Ask(Open("strong"), StatementKind::Read, "FETCH 1", 100ms);
