LibPooler: Count expelled members as unknown

Cause: members behind a partition were expelled after 4 s and then no longer counted as unknown, which ended the patience of 5 s before a primary in their part of the network is replaced.

--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -230,10 +230,9 @@
   Opinions opinions;
   const Core::Instant now = scheduler_.Now();
   for (const Member& member : Others()) {
-    if (member.isExpelled)
-      continue;
     const auto contact = contacts_.find(member.Key());
-    if (contact == contacts_.end() ||
+    // An expelled member may still be using the primary.
+    if (member.isExpelled || contact == contacts_.end() ||
         now - contact->second.answeredAt > kHolderSilence)
       ++opinions.unknown;
     else if (contact->second.reachedGroups.contains(aGroup))
