--- a/Utilities/mastichold/main.cpp
+++ b/Utilities/mastichold/main.cpp
@@ -325,6 +325,8 @@
        "This page is what `mastichold settings` prints.\n\n"
        "## A daemon's own INI file\n\n"
     << Settings::ToMarkdown(Settings::ProcessSettingsTable())
+    << "\n## mastichold-node's own INI file\n\n"
+    << Settings::ToMarkdown(Settings::NodeSettingsTable())
     << "\n## The fleet's configuration\n\n"
        "Defaults for all; `[kind NAME]` sets a `kind.` setting for one "
        "kind of request; an\n`[exception NAME]` has `scope` (`group=`, "
