LibPooler: Take nothing in the second half of a stop, and answer what runs

Change: from half of the grace on only open transactions are served, the rest is refused as not run; at the end each running statement gets its answer. Test: AStoppingNodeTakesNothingThatItCouldNotFinish.

--- a/Libraries/LibPooler/ClientSession.cpp
+++ b/Libraries/LibPooler/ClientSession.cpp
@@ -80,6 +80,11 @@
     HandleInFailedTransaction();
     return;
   }
+  if (!transaction_ && !host_.AcceptsWork()) {
+    ReplyError({ Sql::ErrorCode::Busy, "the node is stopping" });
+    port_.CloseSession();
+    return;
+  }
   const Sql::Statement& statement = queue_.front();
   switch (statement.kind) {
     case StatementKind::Invalid:
@@ -282,6 +287,13 @@
   idleTimer_ = scheduler_.After(limit, [this] { EndRestingTransaction(); });
 }
 
+void
+ClientSession::GiveUp()
+{
+  if (run_ != nullptr)
+    run_->GiveUp();
+}
+
 void
 ClientSession::EndRestingTransaction()
 {
--- a/Libraries/LibPooler/include/LibPooler/ClientSession.h
+++ b/Libraries/LibPooler/include/LibPooler/ClientSession.h
@@ -46,6 +46,8 @@
   virtual GroupRouter* FindRouter(const std::string& aGroup) = 0;
   /** Zero: transactions may rest for ever. */
   virtual Core::Duration TransactionIdleTimeout() const = 0;
+  /** False when a stop has gone so far that new work would be cut off. */
+  virtual bool AcceptsWork() const = 0;
   virtual void Report(const StatementReport& aReport) = 0;
 };
 
@@ -73,7 +75,8 @@
   bool IsInTransaction() const { return transaction_.has_value(); }
   /** Rolls the transaction back, if one rests open; for a stop. */
   void EndRestingTransaction();
-  void Close() { port_.CloseSession(); }
+  /** Answers what is still running with what is known of it; for a stop. */
+  void GiveUp();
 
 private:
   void RunNext();
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -81,12 +81,15 @@
   /** Begins a stop: gives up the duty and says not to be ready. */
   void BeginStop();
   bool IsStopping() const { return isStopping_; }
+  /** From now on only open transactions are served. */
+  void RefuseNewWork() { refusesWork_ = true; }
   /** Takes no part any more; aDone runs once that is known, or soon. */
   void Leave(std::function<void()> aDone);
 
   const Route* FindRoute(std::string_view aDatabase) const override;
   GroupRouter* FindRouter(const std::string& aGroup) override;
   Core::Duration TransactionIdleTimeout() const override;
+  bool AcceptsWork() const override { return !refusesWork_; }
   void Report(const StatementReport& aReport) override;
 
   const std::string& MemberKey() const override { return memberKey_; }
@@ -131,6 +134,7 @@
   bool hasDatabases_ = false;
   bool hasRows_ = false;
   bool isStopping_ = false;
+  bool refusesWork_ = false;
   std::map<std::string, std::unique_ptr<GroupRouter>> routers_;
   std::set<std::string> sampling_;
   /** When the store was last asked a question that it answered. */
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -73,6 +73,9 @@
   /** aDone may run, and destroy the run, before this returns. */
   void Start();
 
+  /** Ends the run now as if its time were over. */
+  void GiveUp() { OnTimeout(); }
+
 private:
   enum class Phase
   {
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -165,9 +165,12 @@
   if (passed < kBalancerDelay)
     return;
   door_.CloseIdleSessions();
-  // Open transactions have the first half of the grace to end.
-  if (passed > grace / 2)
+  // Open transactions have the first half of the grace to end, and what is
+  // begun then has the other half.
+  if (passed > grace / 2 - kStopInterval) {
+    node_.RefuseNewWork();
     door_.EndRestingTransactions();
+  }
   if (door_.Sessions() > 0 && passed < grace - kExitMargin)
     return;
   stopTimer_.reset();
@@ -179,6 +182,7 @@
 {
   Core::LogChange(
     "stopped", { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
+  door_.GiveUpStatements();
   door_.CloseAllSessions();
   node_.Leave([this] { loop_.Stop(); });
   stopTimer_ = loop_.After(kExitMargin / 2, [this] { loop_.Stop(); });
--- a/Tests/LibPooler/TestClientSession.cpp
+++ b/Tests/LibPooler/TestClientSession.cpp
@@ -107,6 +107,7 @@
     return &router;
   }
   Core::Duration TransactionIdleTimeout() const override { return 3s; }
+  bool AcceptsWork() const override { return acceptsWork; }
   void Report(const Pooler::StatementReport& aReport) override
   {
     servedBy.push_back(aReport.result.database);
@@ -133,6 +134,7 @@
   std::vector<Answer> answers;
   std::vector<std::string> servedBy;
   int closed = 0;
+  bool acceptsWork = true;
 
 private:
   void AddRoute(const std::string& aName, Consistency aConsistency)
@@ -434,6 +436,33 @@
               ErrorCode::NoDatabase);
 }
 
+/** Pattern: an overloaded node stops; what it takes late is never done. */
+BOOST_AUTO_TEST_CASE(AStoppingNodeTakesNothingThatItCouldNotFinish)
+{
+  auto& open = Open("strong");
+  Ask(open, StatementKind::Begin, "BEGIN", 10ms);
+  Ask(open, StatementKind::Write, "STORE 1 x", 100ms);
+  acceptsWork = false;
+  const Answer refused =
+    Ask(Open("strong"), StatementKind::Write, "STORE 2 y", 10ms);
+  BOOST_CHECK(refused.error == ErrorCode::Busy);
+  BOOST_TEST(closed == 1);
+  BOOST_TEST(!databases.At("p").HasRun("r STORE 2 y"));
+  BOOST_TEST(!Ask(open, StatementKind::Commit, "COMMIT", 100ms).error);
+}
+
+BOOST_AUTO_TEST_CASE(WhatStillRunsAtTheEndIsAnswered)
+{
+  databases.At("p").work = 10s;
+  auto& session = Open("strong");
+  answers.clear();
+  Send(session, StatementKind::Write, "STORE 1 x");
+  Pass(100ms);
+  session.GiveUp();
+  BOOST_REQUIRE(answers.size() == 1);
+  BOOST_CHECK(answers.front().error == ErrorCode::InDoubt);
+}
+
 BOOST_AUTO_TEST_CASE(AClientThatLeavesInATransactionFreesItsConnection)
 {
   router.SetConnectionLimit(1);
