LibWire: Read a body that is too long to its end, so that the 413 arrives

Cause: the server answered and closed with unread bytes, which resets the connection; a caller that was still sending saw no answer. Change: libevent's lingering close. Statement lines tell what decided: term, floor, age of the authority; ordinary statements get ten lines a second. Test: ABodyOverTheLimitGetsAnAnswerThatCanBeRead; without the change the caller ends by SIGPIPE.

--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -25,6 +25,9 @@
 /** A primary that has answered within this counts as reached. */
 constexpr Core::Duration kReachedAge = std::chrono::milliseconds(700);
 
+/** Statements without anything unusual get a line this often. */
+constexpr Core::Duration kRoutineLineInterval = std::chrono::milliseconds(100);
+
 /** A node that the store hasn't answered for this long asks a peer. */
 constexpr Core::Duration kStoreSilence = std::chrono::milliseconds(3500);
 
@@ -469,8 +472,28 @@
     metrics_.Count(result.ranAtReplica ? "served_at_replica_total"
                                        : "served_at_primary_total");
   const bool isLate = aReport.latency > aReport.route->targetLatency;
-  if (!result.error && !isLate && result.attempts <= 1)
+  const bool isRoutine = !result.error && !isLate && result.attempts <= 1;
+  if (isRoutine && !TakeRoutineLine()) {
+    metrics_.Count("routine_lines_skipped_total");
     return;
+  }
+  LogStatement(aReport, outcome);
+}
+
+bool
+Node::TakeRoutineLine()
+{
+  const Core::Instant now = scheduler_.Now();
+  if (now < nextRoutineLine_)
+    return false;
+  nextRoutineLine_ = now + kRoutineLineInterval;
+  return true;
+}
+
+void
+Node::LogStatement(const StatementReport& aReport, std::string_view aOutcome)
+{
+  const StatementResult& result = aReport.result;
   log_("statement",
        { { "request", aReport.statement.requestId },
          { "kind", Sql::kStatementKindNames.NameOf(aReport.statement.kind) },
@@ -482,7 +505,12 @@
          { "sent", result.wasSent },
          { "ms", Core::ToMilliseconds(aReport.latency) },
          { "configuration", configuration_.version },
-         { "outcome", outcome },
+         { "term", result.term },
+         { "floor", result.floor ? result.floor->ToText() : "" },
+         { "authority_ms",
+           result.authorityAge ? Core::ToMilliseconds(*result.authorityAge)
+                               : -1 },
+         { "outcome", aOutcome },
          { "reason", result.error ? result.error->text : "" } });
 }
 
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -630,9 +630,20 @@
   Finish();
 }
 
+void
+StatementRun::NoteInputs()
+{
+  result_.term = choice_.term;
+  result_.floor = choice_.floor;
+  const Core::Instant askedAt = router_.Authority().AskedAt();
+  if (askedAt != Authority::kNever)
+    result_.authorityAge = scheduler_.Now() - askedAt;
+}
+
 void
 StatementRun::Finish()
 {
+  NoteInputs();
   // A transaction keeps its connection; the run must not close it.
   connection_.reset();
   timeout_.reset();
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -110,6 +110,8 @@
   void Observe(const Authority::GroupRecord& aRecord, Core::Instant aAskedAt);
   GroupRouter& RouterOf(const std::string& aName);
   void ShareDatabases();
+  bool TakeRoutineLine();
+  void LogStatement(const StatementReport& aReport, std::string_view aOutcome);
   void ShareConnections();
   void ShareRelays();
   void Tick();
@@ -139,6 +141,7 @@
   std::set<std::string> sampling_;
   /** When the store was last asked a question that it answered. */
   Core::Instant storeAskedAt_ = Core::Instant::min();
+  Core::Instant nextRoutineLine_ = Core::Instant::min();
   bool isAskingPeer_ = false;
   std::size_t nextPeer_ = 0;
   Core::TimerHandle tick_;
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -38,6 +38,12 @@
   bool ranAtReplica = false;
   bool wasSent = false;
   int attempts = 0;
+  /** What it was decided by: the term of the primary, if that was asked. */
+  Session::Term term = 0;
+  /** The position that the database's log had to hold. */
+  std::optional<Session::LogPosition> floor;
+  /** How old the answer was that the authority rests on. */
+  std::optional<Core::Duration> authorityAge;
 };
 
 /** What a run needs to know of the session that it belongs to. */
@@ -137,6 +143,7 @@
   void DropConnection();
   void ReturnConnection(bool aIsClean);
   void Fail(Sql::ErrorCode aCode, std::string aText);
+  void NoteInputs();
   void Finish();
   template<typename Function>
   auto Guard(Function aFunction);
--- a/Libraries/LibWire/HttpServer.cpp
+++ b/Libraries/LibWire/HttpServer.cpp
@@ -140,6 +140,9 @@
   , http_(evhttp_new(aLoop.Base()))
 {
   SetMaxBodyBytes(kDefaultMaxBodyBytes);
+  // A body that is too long is read to its end before the answer, since closing
+  // with unread bytes resets the connection and the caller sees no answer.
+  evhttp_set_flags(http_, EVHTTP_SERVER_LINGERING_CLOSE);
   evhttp_set_max_headers_size(http_, kMaxHeaderBytes);
   evhttp_set_allowed_methods(http_,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
--- a/Tests/LibWire/TestHttpConnection.cpp
+++ b/Tests/LibWire/TestHttpConnection.cpp
@@ -104,6 +104,35 @@
   BOOST_TEST(connection.IsUsable());
 }
 
+BOOST_FIXTURE_TEST_CASE(ABodyOverTheLimitGetsAnAnswerThatCanBeRead, Fixture)
+{
+  constexpr std::size_t kOversized = std::size_t{ 5 } << 20U;
+  HttpServer server(loop);
+  server.Route(HttpMethod::Post,
+               "/x",
+               [](const HttpRequest&, const HttpReplyHandle& aReply) {
+                 aReply->Send(HttpAnswer::Error(HttpStatus::Ok, "not reached"));
+               });
+  Core::LastReason reason;
+  const auto address = server.Listen({ "127.0.0.1", 0 }, reason);
+  BOOST_REQUIRE(address);
+  HttpConnection connection(loop, *address, "");
+  HttpCall call;
+  call.method = HttpMethod::Post;
+  call.target = "/x";
+  call.body.assign(kOversized, 'x');
+  call.timeout = milliseconds(10'000);
+  HttpOutcome outcome;
+  connection.Send(call, [&](HttpOutcome aOutcome) {
+    outcome = std::move(aOutcome);
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_CHECK(outcome.delivery == Delivery::Answered);
+  BOOST_TEST(outcome.answer.status ==
+             static_cast<int>(HttpStatus::PayloadTooLarge));
+}
+
 BOOST_AUTO_TEST_CASE(OnlyTheWholeSecretIsRight)
 {
   BOOST_TEST(IsBearerOf("Bearer abc", "abc"));
