LibPooler: Keep what a client may be told in one place of pure rules

Cause: StatementRun decided in five places what a loss, a refusal or an end of time means for the client. Change: StatementRules, and a table of its cases; no behaviour changes but for a transaction's first statement, which is busy rather than rolled back when it never reached a database.

--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -494,24 +494,24 @@
 Node::LogStatement(const StatementReport& aReport, std::string_view aOutcome)
 {
   const StatementResult& result = aReport.result;
-  log_("statement",
-       { { "request", aReport.statement.requestId },
-         { "kind", Sql::kStatementKindNames.NameOf(aReport.statement.kind) },
-         { "route", aReport.route->name },
-         { "group", aReport.route->group },
-         { "database", result.database },
-         { "in_transaction", aReport.isInTransaction },
-         { "attempts", result.attempts },
-         { "sent", result.wasSent },
-         { "ms", Core::ToMilliseconds(aReport.latency) },
-         { "configuration", configuration_.version },
-         { "term", result.term },
-         { "floor", result.floor ? result.floor->ToText() : "" },
-         { "authority_ms",
-           result.authorityAge ? Core::ToMilliseconds(*result.authorityAge)
-                               : -1 },
-         { "outcome", aOutcome },
-         { "reason", result.error ? result.error->text : "" } });
+  log_(
+    "statement",
+    { { "request", aReport.statement.requestId },
+      { "kind", Sql::kStatementKindNames.NameOf(aReport.statement.kind) },
+      { "route", aReport.route->name },
+      { "group", aReport.route->group },
+      { "database", result.database },
+      { "in_transaction", aReport.isInTransaction },
+      { "attempts", result.attempts },
+      { "sent", result.wasSent },
+      { "ms", Core::ToMilliseconds(aReport.latency) },
+      { "configuration", configuration_.version },
+      { "term", result.term },
+      { "floor", result.floor ? result.floor->ToText() : "" },
+      { "authority_ms",
+        result.authorityAge ? Core::ToMilliseconds(*result.authorityAge) : -1 },
+      { "outcome", aOutcome },
+      { "reason", result.error ? result.error->text : "" } });
 }
 
 void
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -109,12 +109,18 @@
   return prepared != context_.prepared.end() && prepared->second.isWrite;
 }
 
-bool
-StatementRun::MayHaveWritten() const
+StatementFacts
+StatementRun::Facts() const
 {
-  if (IsInTransaction())
-    return IsCommit() && context_.transaction->hasWritten;
-  return IsWrite();
+  StatementFacts facts;
+  // Before its first statement a transaction exists at no database.
+  facts.isInTransaction = IsInTransaction() && !IsFirstInTransaction();
+  facts.isCommit = IsCommit();
+  facts.isWrite = IsWrite();
+  facts.hasTransactionWritten =
+    IsInTransaction() && context_.transaction->hasWritten;
+  facts.wasSent = phase_ == Phase::Sent;
+  return facts;
 }
 
 const std::string*
@@ -428,7 +434,7 @@
     return;
   }
   if (choice_.isPrimary && aReply.position &&
-      aReply.position->term > choice_.term && !MayHaveWritten()) {
+      aReply.position->term > choice_.term && !MayChangeData(Facts())) {
     // It follows another primary already; what it read may be old.
     OnFormerPrimary();
     return;
@@ -456,13 +462,14 @@
 StatementRun::OnSuccess(Sql::DatabaseReply aReply)
 {
   const bool endsTransaction = IsInTransaction() && IsCommit();
-  if (MayHaveWritten() && !HasAuthority()) {
+  const bool mayChangeData = MayChangeData(Facts());
+  if (mayChangeData && !HasAuthority()) {
     // Another primary may have been promoted without this write.
     ReturnConnection(true);
     Fail(Sql::ErrorCode::InDoubt, "the primary may have been replaced");
     return;
   }
-  if (MayHaveWritten())
+  if (mayChangeData)
     result_.written = aReply.position;
   result_.rows = std::move(aReply.rows);
   result_.signature = std::move(aReply.signature);
@@ -486,27 +493,24 @@
     OnErrorInTransaction(aReply);
     return;
   }
-  const bool mayRepeat = Sql::SaysNotRun(code) || !IsWrite();
+  const Reaction reaction = result_.attempts < kMaxAttempts
+                              ? ReactionTo(code, Facts())
+                              : Reaction::Report;
   ReturnConnection(aReply.state == Sql::TransactionState::Idle &&
                    code != Sql::ErrorCode::NoStatement);
-  if (!mayRepeat || result_.attempts >= kMaxAttempts) {
-    result_.error = aReply.error;
-    Finish();
-    return;
-  }
-  switch (code) {
-    case Sql::ErrorCode::Lagging:
+  switch (reaction) {
+    case Reaction::Report:
+      result_.error = aReply.error;
+      result_.keepsTransaction = false;
+      Finish();
+      return;
+    case Reaction::GoElsewhere:
       TryElsewhere(true, Core::Duration::zero());
       return;
-    case Sql::ErrorCode::ReadOnly:
+    case Reaction::AwaitPrimary:
       TryElsewhere(false, kReadOnlyDelay);
       return;
-    case Sql::ErrorCode::Timeout:
-    case Sql::ErrorCode::Malformed:
-      result_.error = aReply.error;
-      Finish();
-      return;
-    default:
+    case Reaction::Wait:
       TryElsewhere(!need_.needsPrimary, kBusyDelay);
   }
 }
@@ -522,11 +526,10 @@
     retry_ = scheduler_.After(kBusyDelay, [this] { SendStatement(); });
     return;
   }
-  const bool mayBeCommitted = IsCommit() && context_.transaction->hasWritten &&
-                              !Sql::SaysNotRun(error.code);
+  const Sql::ErrorCode verdict =
+    VerdictOnErrorInTransaction(Facts(), error.code);
   RollBack();
-  Fail(mayBeCommitted ? Sql::ErrorCode::InDoubt : Sql::ErrorCode::RolledBack,
-       error.text);
+  Fail(verdict, error.text);
 }
 
 void
@@ -540,17 +543,11 @@
 void
 StatementRun::OnLost()
 {
-  const bool wasSent = phase_ == Phase::Sent;
-  const bool isPinned = IsInTransaction() && !IsFirstInTransaction();
-  const bool mayHaveWritten = wasSent && MayHaveWritten();
+  const auto verdict = VerdictOnLostConnection(Facts());
   retry_.reset();
   DropConnection();
-  if (mayHaveWritten) {
-    Fail(Sql::ErrorCode::InDoubt, "the database's answer was lost");
-    return;
-  }
-  if (isPinned) {
-    Fail(Sql::ErrorCode::RolledBack, "the connection to the database was lost");
+  if (verdict) {
+    Fail(*verdict, "the connection to the database was lost");
     return;
   }
   if (result_.attempts >= kMaxAttempts) {
@@ -584,21 +581,13 @@
 void
 StatementRun::OnTimeout()
 {
-  const bool wasSent = phase_ == Phase::Sent;
-  const bool mayHaveWritten = wasSent && MayHaveWritten();
-  if (wasSent)
+  const StatementFacts facts = Facts();
+  if (facts.wasSent)
     choice_.pool->RecordFailure();
   DropConnection();
-  if (mayHaveWritten) {
-    Fail(Sql::ErrorCode::InDoubt, "the database didn't answer in time");
-    return;
-  }
-  if (IsInTransaction()) {
-    Fail(Sql::ErrorCode::RolledBack, "the statement's time is over");
-    return;
-  }
-  Fail(wasSent ? Sql::ErrorCode::Timeout : Sql::ErrorCode::Busy,
-       "the statement's time is over");
+  Fail(VerdictOnTimeOver(facts),
+       facts.wasSent ? "the database didn't answer in time"
+                     : "the statement's time is over");
 }
 
 void
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -2,6 +2,7 @@
 
 #include <LibPooler/GroupRouter.h>
 #include <LibPooler/SessionValues.h>
+#include <LibPooler/StatementRules.h>
 #include <LibSql/Statement.h>
 
 #include <functional>
@@ -110,7 +111,7 @@
   bool IsInTransaction() const;
   bool IsCommit() const;
   bool IsWrite() const;
-  bool MayHaveWritten() const;
+  StatementFacts Facts() const;
   RoutingNeed Need() const;
   const std::string* Shape() const;
 
