--- a/Libraries/LibSettings/NodeSettingsTable.cpp
+++ b/Libraries/LibSettings/NodeSettingsTable.cpp
@@ -84,7 +84,7 @@
       "ms",
       1,
       kMaxMilliseconds,
-      "9000",
+      "7500",
       "How long a primary may be used without asking whether it still is." },
     { "authority.read_lease_ms",
       SettingType::Integer,
