--- a/Libraries/LibSettings/NodeSettingsTable.cpp
+++ b/Libraries/LibSettings/NodeSettingsTable.cpp
@@ -98,7 +98,7 @@
       "ms",
       kLeastDutyMilliseconds,
       kMaxMilliseconds,
-      "2000",
+      "1600",
       "How long the failover duty is held without being renewed." },
   };
   return kTable;
