LibAuthority: Don't wait for leases on a primary whose process has ended

Change: another database listed at the primary's last address proves that its process has ended; the change begins and goes on at once. Test: APrimaryThatHasEndedIsReplacedWithoutWaiting.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -188,6 +188,10 @@
 {
   const Core::Instant now = scheduler_.Now();
   const SupervisedDatabase* primary = Find(record_->primary);
+  if (port_.HasEnded(record_->primary) && HasUsefulCandidate()) {
+    BeginChange("ended");
+    return;
+  }
   if (primary != nullptr && primary->isLeaving && HasUsefulCandidate()) {
     BeginChange("leaving");
     return;
@@ -307,6 +311,10 @@
 void
 GroupSupervisor::CheckFence()
 {
+  if (port_.HasEnded(record_->primary)) {
+    OnFenced("ended");
+    return;
+  }
   // A database that has stepped down refuses all that may write, so that only
   // plain reads are left to be waited for.
   const Core::Duration lease = steppedDownAt_
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -69,6 +69,12 @@
   virtual bool IsLostToOthers(const std::string& aGroup,
                               Core::Duration aSilence) const = 0;
 
+  /**
+   * True if a database's process is known to have ended for good, so that
+   * nobody can be using it.
+   */
+  virtual bool HasEnded(const std::string& aId) const = 0;
+
   /** Asks a database for its status; gives up after aTimeout. */
   virtual void Probe(const std::string& aId,
                      Core::Duration aTimeout,
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -1,6 +1,7 @@
 #include <LibPooler/FailoverDuty.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Pooler {
@@ -72,6 +73,15 @@
 FailoverDuty::SetDatabases(const DatabaseList& aDatabases)
 {
   databases_ = aDatabases;
+  std::set<std::string> primaries;
+  for (const auto& [group, primary] : primaries_)
+    primaries.insert(primary);
+  std::erase_if(lastAddresses_, [&](const auto& aEntry) {
+    return !databases_.contains(aEntry.first) &&
+           !primaries.contains(aEntry.first);
+  });
+  for (const auto& [id, database] : databases_)
+    lastAddresses_[id] = { database.host, database.port };
   control_.SetDatabases(aDatabases);
   ShareDatabases();
 }
@@ -93,6 +103,7 @@
 FailoverDuty::SetRecord(const Authority::GroupRecord& aRecord)
 {
   newestRecord_ = std::max(newestRecord_, aRecord.version);
+  primaries_[aRecord.group] = aRecord.primary;
   SupervisorOf(aRecord.group).SetRecord(aRecord);
   const auto revocation = revocations_.find(aRecord.group);
   const bool isOver = revocation != revocations_.end() &&
@@ -234,6 +245,20 @@
   return !areManyUnknown || aSilence > kPatienceInPartition;
 }
 
+bool
+FailoverDuty::HasEnded(const std::string& aId) const
+{
+  const auto address = lastAddresses_.find(aId);
+  if (address == lastAddresses_.end())
+    return false;
+  // Only one process listens at an address.
+  return std::any_of(
+    databases_.begin(), databases_.end(), [&](const auto& aEntry) {
+      const Database& other = aEntry.second;
+      return other.id != aId && lastAddresses_.at(other.id) == address->second;
+    });
+}
+
 void
 FailoverDuty::Probe(const std::string& aId,
                     Core::Duration aTimeout,
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -94,6 +94,7 @@
   bool HoldsDuty(Core::Duration aMargin) const override;
   bool IsLostToOthers(const std::string& aGroup,
                       Core::Duration aSilence) const override;
+  bool HasEnded(const std::string& aId) const override;
   void Probe(const std::string& aId,
              Core::Duration aTimeout,
              ProbeHandler aDone) override;
@@ -122,6 +123,10 @@
   ControlLinks control_;
   Authority::DutyLease lease_;
   DatabaseList databases_;
+  /** Where databases answer, and where primaries did that are not listed. */
+  std::map<std::string, Wire::Address> lastAddresses_;
+  /** The groups' primaries by their records. */
+  std::map<std::string, std::string> primaries_;
   std::map<std::string, std::unique_ptr<Authority::GroupSupervisor>>
     supervisors_;
   std::map<std::string, Revocation> revocations_;
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -79,6 +79,7 @@
   {
     return !othersReachPrimary;
   }
+  bool HasEnded(const std::string& aId) const override { return ended == aId; }
   void Probe(const std::string& aId,
              Core::Duration aTimeout,
              ProbeHandler aDone) override
@@ -148,6 +149,7 @@
   Simulation::VirtualTime time;
   std::map<std::string, FakeMember> members;
   std::string leaving;
+  std::string ended;
   bool holdsDuty = true;
   bool othersReachPrimary = false;
   bool allNodesAnswer = true;
@@ -313,6 +315,20 @@
   BOOST_TEST(!stored->change.has_value());
 }
 
+/** Another database answers at its address, so nobody can be using it. */
+BOOST_AUTO_TEST_CASE(APrimaryThatHasEndedIsReplacedWithoutWaiting)
+{
+  Begin();
+  allNodesAnswer = false;
+  members.erase("a");
+  members["d"].status = { true, 1, { 1, 100 }, {}, 0, 0 };
+  ListAll();
+  ended = "a";
+  Pass(700ms);
+  BOOST_TEST(stored->primary == "d");
+  BOOST_TEST(!stored->change.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(TakesAChangeBackWhenNobodyElseAnswers)
 {
   Begin();
