--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -55,9 +55,9 @@
 }
 
 void
-GroupSupervisor::NotePrimaryAlive()
+GroupSupervisor::NotePrimaryAlive(Core::Instant aSentAt)
 {
-  primaryAliveAt_ = scheduler_.Now();
+  primaryAliveAt_ = std::max(primaryAliveAt_, aSentAt);
 }
 
 const SupervisedDatabase*
@@ -201,7 +201,9 @@
     BeginChange("silent");
     return;
   }
-  if (isProbing_ || now < nextProbe_)
+  // Answers to statements show as well that it lives.
+  const bool wasHeard = now - primaryAliveAt_ < timing_.probeInterval;
+  if (isProbing_ || wasHeard || now < nextProbe_)
     return;
   isProbing_ = true;
   nextProbe_ = now + timing_.probeInterval;
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -144,8 +144,8 @@
   /** The record as the store holds it; none while there is none. */
   void SetRecord(const std::optional<GroupRecord>& aRecord);
 
-  /** An answer came from the primary, by whatever way. */
-  void NotePrimaryAlive();
+  /** The primary has answered what was sent at aSentAt. */
+  void NotePrimaryAlive(Core::Instant aSentAt);
 
   /** True while a change of primary is under way here. */
   bool IsChanging() const { return stage_ != Stage::Watching; }
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -113,11 +113,11 @@
 }
 
 void
-FailoverDuty::NotePrimaryAlive(const std::string& aGroup)
+FailoverDuty::NotePrimaryAlive(const std::string& aGroup, Core::Instant aSentAt)
 {
   const auto supervisor = supervisors_.find(aGroup);
   if (supervisor != supervisors_.end())
-    supervisor->second->NotePrimaryAlive();
+    supervisor->second->NotePrimaryAlive(aSentAt);
 }
 
 void
--- a/Libraries/LibPooler/GroupRouter.cpp
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -14,7 +14,7 @@
 constexpr Core::Duration kLagMemory = std::chrono::milliseconds(120);
 
 /** A database in another data centre costs this much more than one nearby. */
-constexpr Core::Duration kRemoteCost = std::chrono::milliseconds(2);
+constexpr Core::Duration kRemoteCost = std::chrono::milliseconds(5);
 
 /** Reads leave the primary to writes unless replicas are this much slower. */
 constexpr Core::Duration kPrimaryCost = std::chrono::milliseconds(40);
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -17,7 +17,7 @@
 constexpr Core::Duration kSampleInterval = std::chrono::milliseconds(200);
 
 /** The primary is asked when no answer of it is younger than this. */
-constexpr Core::Duration kSampleAge = std::chrono::milliseconds(450);
+constexpr Core::Duration kSampleAge = std::chrono::milliseconds(600);
 
 /** An answer to the question for a sample is given up after this. */
 constexpr Core::Duration kSampleTimeout = std::chrono::milliseconds(1000);
@@ -298,6 +298,11 @@
     for (auto& [name, router] : routers_)
       router->RenewAuthority(scheduler_.Now());
   }
+  for (const auto& [name, router] : routers_) {
+    const auto newest = router->Samples().Newest();
+    if (newest)
+      duty_.NotePrimaryAlive(name, *newest);
+  }
   if (scheduler_.Now() - kStoreSilence > storeAskedAt_ && hasRows_)
     AskPeer();
 }
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -59,7 +59,8 @@
   void SetRecord(const Authority::GroupRecord& aRecord);
   /** The rows up to aVersion have been applied. */
   void OnRowsApplied(std::uint64_t aVersion);
-  void NotePrimaryAlive(const std::string& aGroup);
+  /** The group's primary has answered a statement that was sent at aSentAt. */
+  void NotePrimaryAlive(const std::string& aGroup, Core::Instant aSentAt);
 
   /** Renews or takes the duty, and acts on it. */
   void Tick();
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -16,7 +16,7 @@
 
 /** An answer to a database's or the platform's call is given up after these. */
 constexpr Core::Duration kProbeTimeout = std::chrono::milliseconds(500);
-constexpr Core::Duration kPromoteTimeout = std::chrono::milliseconds(900);
+constexpr Core::Duration kPromoteTimeout = std::chrono::milliseconds(700);
 
 constexpr int kIncarnationDigits = 12;
 
@@ -58,9 +58,9 @@
     milliseconds(aSettings.Integer("authority.read_lease_ms"));
   result.duty.lease.duration = milliseconds(aSettings.Integer("duty.lease_ms"));
   // The holder stops early enough for a call that is under way to be given up,
-  // and renews often enough to lose two renewals.
+  // and renews often enough to lose one renewal.
   result.duty.lease.safety = result.duty.lease.duration / 8;
-  result.duty.lease.renewal = result.duty.lease.duration / 4;
+  result.duty.lease.renewal = result.duty.lease.duration / 3;
   result.duty.supervisor = ToSupervisorTiming(result.authorityLease);
   result.connectionShare = kConnectionShare;
   return result;
