--- a/Libraries/LibAuthority/PrimaryAuthority.cpp
+++ b/Libraries/LibAuthority/PrimaryAuthority.cpp
@@ -16,7 +16,6 @@
         record_->primary != aRecord.primary || aRecord.change)
       askedAt_ = kNever;
     record_ = aRecord;
-    isRevoked_ = false;
   }
   Renew(aAskedAt);
   return isNew;
@@ -25,17 +24,10 @@
 void
 PrimaryAuthority::Renew(Core::Instant aAskedAt)
 {
-  if (record_ && !record_->change && !isRevoked_)
+  if (record_ && !record_->change)
     askedAt_ = std::max(askedAt_, aAskedAt);
 }
 
-void
-PrimaryAuthority::Revoke()
-{
-  askedAt_ = kNever;
-  isRevoked_ = true;
-}
-
 bool
 PrimaryAuthority::HoldsWithin(Core::Duration aLease, Core::Instant aNow) const
 {
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
@@ -45,9 +45,6 @@
   /** No new record came in answer to a question that was asked at aAskedAt. */
   void Renew(Core::Instant aAskedAt);
 
-  /** Ends the lease at once, whatever is observed of the known record later. */
-  void Revoke();
-
   /**
    * True while no other primary can have been promoted, unless this one has
    * stepped down and refuses writes and transactions that may write.
@@ -72,7 +69,6 @@
   AuthorityLease lease_;
   std::optional<GroupRecord> record_;
   Core::Instant askedAt_ = kNever;
-  bool isRevoked_ = false;
 };
 
 } // namespace Authority
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -501,7 +501,6 @@
   switch (reaction) {
     case Reaction::Report:
       result_.error = aReply.error;
-      result_.keepsTransaction = false;
       Finish();
       return;
     case Reaction::GoElsewhere:
@@ -615,7 +614,6 @@
   if (connection_ != nullptr)
     DropConnection();
   result_.error = Sql::Error{ aCode, std::move(aText) };
-  result_.keepsTransaction = false;
   Finish();
 }
 
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -32,8 +32,6 @@
   std::optional<Sql::Error> error;
   /** The position that the session's later reads must see, if it wrote. */
   std::optional<Session::LogPosition> written;
-  /** False when the transaction's connection is gone. */
-  bool keepsTransaction = true;
   /** How it was run, for the log and the counters. */
   std::string database;
   bool ranAtReplica = false;
--- a/Libraries/LibSql/Statement.cpp
+++ b/Libraries/LibSql/Statement.cpp
@@ -19,20 +19,4 @@
   }
 }
 
-bool
-IsPromise(ErrorCode aCode)
-{
-  switch (aCode) {
-    case ErrorCode::Busy:
-    case ErrorCode::RolledBack:
-    case ErrorCode::Lagging:
-    case ErrorCode::ReadOnly:
-    case ErrorCode::WrongNode:
-    case ErrorCode::ConnectionLimit:
-      return true;
-    default:
-      return false;
-  }
-}
-
 } // namespace Sql
--- a/Libraries/LibSql/include/LibSql/Statement.h
+++ b/Libraries/LibSql/include/LibSql/Statement.h
@@ -122,9 +122,4 @@
 bool
 SaysNotRun(ErrorCode aCode);
 
-/** True when an answer with this code means that nothing of the attempt is
- * kept. */
-bool
-IsPromise(ErrorCode aCode);
-
 } // namespace Sql
--- a/Libraries/LibWire/LineConnection.cpp
+++ b/Libraries/LibWire/LineConnection.cpp
@@ -24,9 +24,6 @@
 /** Reading pauses while this much waits to be written. */
 constexpr std::size_t kWriteBacklogBytes = 256UL * 1024;
 
-/** How much is read at a time beyond the longest line. */
-constexpr std::size_t kReadAheadBytes = 64UL * 1024;
-
 /** How long a closing connection waits for its peer to read. */
 constexpr Core::Duration kLingerTimeout = std::chrono::milliseconds(500);
 
@@ -140,7 +137,7 @@
     return;
   }
   const std::shared_ptr<bool> alive = alive_;
-  while (!isPaused_) {
+  for (;;) {
     if (evbuffer_get_length(bufferevent_get_output(events_)) >
         kWriteBacklogBytes) {
       isBlocked_ = true;
@@ -160,31 +157,11 @@
     if (!*alive || IsLinger())
       return;
   }
-  if (evbuffer_get_length(input) > maxLineBytes_ && !isPaused_) {
+  if (evbuffer_get_length(input) > maxLineBytes_) {
     listener_->OnEnd(LineEnd::LineTooLong);
     return;
   }
-  // While paused, what has been read is enough; the peer is made to wait.
-  const bool isFull = isPaused_ && evbuffer_get_length(input) > kReadAheadBytes;
-  if (isFull)
-    bufferevent_disable(events_, EV_READ);
-  else
-    bufferevent_enable(events_, EV_READ);
-}
-
-void
-LineConnection::SetPaused(bool aPaused)
-{
-  if (isPaused_ == aPaused)
-    return;
-  isPaused_ = aPaused;
-  if (aPaused)
-    return;
-  // The caller may be inside OnLine, so the rest is read a moment later.
-  loop_.Defer([this, alive = alive_] {
-    if (*alive)
-      ReadLines();
-  });
+  bufferevent_enable(events_, EV_READ);
 }
 
 void
--- a/Libraries/LibWire/include/LibWire/LineConnection.h
+++ b/Libraries/LibWire/include/LibWire/LineConnection.h
@@ -76,9 +76,6 @@
    */
   static void Abandon(std::unique_ptr<LineConnection> aConnection);
 
-  /** Stops or resumes handing out lines. */
-  void SetPaused(bool aPaused);
-
 private:
   void Attach();
   void ReadLines();
@@ -90,7 +87,6 @@
   LineListener* listener_;
   bufferevent* events_ = nullptr;
   std::size_t maxLineBytes_;
-  bool isPaused_ = false;
   bool isBlocked_ = false;
   bool isConnected_ = false;
   Core::TimerHandle connectTimer_;
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -24,7 +24,7 @@
  * The rest is left to nodes that join and to connections for questions. More
  * would move the queue into the database, which knows no order but arrival.
  */
-constexpr double kConnectionShare = 0.6;
+constexpr double kConnectionShare = 0.7;
 
 /** Longer than two clocks drift apart during a lease of authority. */
 constexpr Core::Duration kClockMargin = std::chrono::milliseconds(200);
