LibPooler: Check the lease for plain reads at sending, and trust no commit of nothing

Cause, found by reading: whether a strong read needs a transaction of its own was decided when its database was chosen, and up to 0.75 s of waiting for a connection could follow, longer than the lease had left. And a transaction that wrote nothing commits also at a primary that has stepped down, whose position was then taken as a sample for bounded reads. Change: the lease is checked again at sending; such commits, and answers inside transactions that the short lease doesn't cover, prove only what the database would have refused. Tests, both failing before: AReadThatWaitedTooLongForAPlainOneIsFenced, ACommitOfNothingProvesNothing.

--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -156,6 +156,7 @@
     choice_.pool = transaction.pool;
     choice_.isPrimary = transaction.isOnPrimary;
     choice_.term = transaction.term;
+    choice_.needsFencedRead = true;
     OnConnection(transaction.connection);
     return;
   }
@@ -237,7 +238,6 @@
     commands.back().atLeast = choice_.floor;
   }
   pendingPreparations_ = static_cast<int>(commands.size());
-  hasPreparationFailed_ = false;
   if (commands.empty()) {
     SendStatement();
     return;
@@ -300,6 +300,11 @@
 {
   if (!choice_.isPrimary)
     return true;
+  // The lease for plain reads is short and may have ended during the wait.
+  const bool isPlainRead =
+    !IsInTransaction() && !IsWrite() && !choice_.needsFencedRead;
+  if (isPlainRead && !router_.Authority().HoldsForPlainReads(scheduler_.Now()))
+    return false;
   return HasAuthority();
 }
 
@@ -414,9 +419,11 @@
   if (!aReply.position)
     return;
   choice_.pool->RecordPosition(*aReply.position);
-  const bool isProof = IsInTransaction() || IsWrite() || IsFencedRead() ||
-                       !choice_.needsFencedRead;
-  if (choice_.isPrimary && isProof)
+  // A former primary answers plain reads, and commits of nothing, as before.
+  const bool isCommitOfNothing = IsCommit() && !MayChangeData(Facts());
+  const bool isRefusedByFormer = IsInTransaction() || IsWrite() ||
+                                 IsFencedRead() || !choice_.needsFencedRead;
+  if (choice_.isPrimary && isRefusedByFormer && !isCommitOfNothing)
     router_.AddSample(sentAt_, *aReply.position);
 }
 
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -93,8 +93,6 @@
     Sent,
   };
 
-  /** A single read runs in a transaction of our own, to be rolled back. */
-  bool IsFencedRead() const;
   /** A statement that a database has, and the connection that carries it. */
   struct Attempt
   {
@@ -105,6 +103,8 @@
     bool isOver = false;
   };
 
+  /** A single read runs in a transaction of our own, to be rolled back. */
+  bool IsFencedRead() const;
   bool IsFirstInTransaction() const;
   bool IsInTransaction() const;
   bool IsCommit() const;
@@ -161,7 +161,6 @@
   PooledConnectionHandle connection_;
   std::shared_ptr<Attempt> attempt_;
   int pendingPreparations_ = 0;
-  bool hasPreparationFailed_ = false;
   std::uint64_t poolTicket_ = 0;
   std::uint64_t changeTicket_ = 0;
   Core::TimerHandle timeout_;
--- a/Tests/LibPooler/FakeDatabases.cpp
+++ b/Tests/LibPooler/FakeDatabases.cpp
@@ -155,8 +155,10 @@
     }
     const bool isWrite = aCommand.text.starts_with("STORE") ||
                          aCommand.kind == Sql::CommandKind::ClientExecute;
-    const bool needsLead = aCommand.kind == Sql::CommandKind::Begin ||
-                           (aIsClients && (isWrite || mayWrite_));
+    const bool isCommitOfNothing = aCommand.text == "COMMIT" && !hasWritten_;
+    const bool needsLead =
+      aCommand.kind == Sql::CommandKind::Begin ||
+      (aIsClients && (isWrite || (mayWrite_ && !isCommitOfNothing)));
     if (needsLead && !database_.isPrimary)
       return Refuse(Sql::ErrorCode::ReadOnly);
     database_.ran.push_back(Describe(aCommand));
@@ -164,8 +166,10 @@
     reply.signature = aIsClients ? "signed-" + database_.id : "-";
     if (aIsClients)
       reply.rows = { "row" };
-    if (isWrite && aIsClients)
+    if (isWrite && aIsClients) {
       ++database_.position;
+      hasWritten_ = true;
+    }
     if (aCommand.kind == Sql::CommandKind::Status)
       reply.rows = { std::string(database_.isPrimary ? "primary" : "replica") +
                      ' ' + std::to_string(database_.term) + ' ' +
@@ -188,6 +192,7 @@
     if (begins) {
       state_ = Sql::TransactionState::Open;
       mayWrite_ = aCommand.kind == Sql::CommandKind::Begin;
+      hasWritten_ = false;
     }
     if (ends) {
       state_ = Sql::TransactionState::Idle;
@@ -210,6 +215,7 @@
   std::deque<Sql::ReplyHandler> handlers_;
   Sql::TransactionState state_ = Sql::TransactionState::Idle;
   bool mayWrite_ = false;
+  bool hasWritten_ = false;
   bool isBroken_ = false;
 };
 
--- a/Tests/LibPooler/TestClientSession.cpp
+++ b/Tests/LibPooler/TestClientSession.cpp
@@ -340,6 +340,37 @@
   BOOST_TEST(!databases.At("p").HasRun("r FETCH 1"));
 }
 
+/** The lease for plain reads ends while the read waits for a connection. */
+BOOST_AUTO_TEST_CASE(AReadThatWaitedTooLongForAPlainOneIsFenced)
+{
+  router.SetConnectionLimit(1);
+  Ask(Open("strong"), StatementKind::Read, "FETCH 1", 900ms);
+  databases.At("p").work = 500ms;
+  Send(Open("strong"), StatementKind::Write, "STORE 1 x");
+  Pass(10ms);
+  databases.At("p").work = 5ms;
+  Send(Open("strong"), StatementKind::Read, "FETCH 2");
+  Pass(600ms);
+  const auto& ran = databases.At("p").ran;
+  const auto read = std::find(ran.begin(), ran.end(), "r FETCH 2");
+  BOOST_REQUIRE(read != ran.end());
+  BOOST_TEST(*std::prev(read) == "begin");
+}
+
+/** A former primary still commits a transaction that wrote nothing. */
+BOOST_AUTO_TEST_CASE(ACommitOfNothingProvesNothing)
+{
+  Pass(3s);
+  auto& session = Open("strong");
+  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
+  Ask(session, StatementKind::Read, "FETCH 1", 100ms);
+  const auto before = router.Samples().Newest();
+  databases.At("p").isPrimary = false;
+  BOOST_TEST(
+    !Ask(session, StatementKind::Commit, "COMMIT", 100ms).error.has_value());
+  BOOST_CHECK(router.Samples().Newest() == before);
+}
+
 BOOST_AUTO_TEST_CASE(AFencedReadLeavesNoTransactionOpen)
 {
   Pass(3s);
