--- a/Tests/LibPooler/TestConnectionPool.cpp
+++ b/Tests/LibPooler/TestConnectionPool.cpp
@@ -198,8 +198,8 @@
   }
   Pass(5s);
   BOOST_TEST(inTime + late == kArrivals);
-  // Two in three can be served; first come first served answers one in five
-  // in time.
+  // Work takes one and a half times the interval, so that two in three can be
+  // served; a tenth of them is left for the beginning.
   BOOST_TEST(inTime >= kArrivals * 6 / 10);
 }
 
