--- /dev/null
+++ b/Tests/LibPooler/TestNode.cpp
@@ -0,0 +1,283 @@
+#define BOOST_TEST_MODULE Node
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "FakeDatabases.h"
+
+#include <LibPooler/Node.h>
+
+namespace data = boost::unit_test::data;
+using namespace std::chrono_literals;
+using Authority::StoredRow;
+using Authority::WriteOutcome;
+using Authority::WriteResult;
+
+namespace {
+
+constexpr Authority::AuthorityLease kLease{ 7500ms, 1200ms };
+constexpr std::uint64_t kRecordVersion = 20;
+
+/** A node without a network: the store takes all writes, peers are silent. */
+class Fixture
+  : public Authority::CoordinationStore
+  , public Pooler::PeerLink
+  , public Pooler::Promoter
+{
+public:
+  Fixture()
+    : databases(time)
+    , relays(time)
+    , node(time,
+           Settings(),
+           { databases, *this, *this, *this, relays },
+           metrics,
+           [](std::string_view, const boost::json::object&) {})
+  {
+    for (const std::string id : { "p", "a", "b" })
+      databases.Add(id, id == "p");
+    node.ApplyConfiguration(ConfigurationOf(5, "shop"));
+    ListDatabases("");
+  }
+  ~Fixture() override { time.Close(); }
+
+  static Pooler::NodeSettings Settings()
+  {
+    Pooler::NodeSettings settings;
+    settings.self.name = "me";
+    settings.self.incarnation = "1";
+    settings.self.address = { "127.0.0.1", 1 };
+    settings.self.relay = { "127.0.0.1", 2 };
+    settings.authorityLease = kLease;
+    settings.duty.lease = { 1600ms, 200ms, 500ms };
+    settings.duty.supervisor.authorityLease = kLease;
+    settings.duty.supervisor.probeInterval = 250ms;
+    settings.duty.supervisor.probeTimeout = 500ms;
+    settings.duty.supervisor.silenceLimit = 900ms;
+    settings.connectionShare = 0.7;
+    return settings;
+  }
+
+  static Pooler::Configuration ConfigurationOf(std::uint64_t aVersion,
+                                               const std::string& aDatabase)
+  {
+    Pooler::Configuration configuration;
+    configuration.version = aVersion;
+    configuration.routes[aDatabase].group = "g";
+    configuration.maxConnections["g"] = 30;
+    return configuration;
+  }
+
+  void ListDatabases(const std::string& aLeaving)
+  {
+    Pooler::DatabaseList list;
+    for (const std::string id : { "p", "a", "b" }) {
+      list[id].id = id;
+      list[id].group = "g";
+      list[id].isLeaving = id == aLeaving;
+    }
+    node.ApplyDatabases(list);
+  }
+
+  /** Registers and shows the store's rows; authority begins with that. */
+  void Join()
+  {
+    node.Register([] {});
+    Pass(10ms);
+    ShowRows(time.Now());
+  }
+
+  void ShowRows(Core::Instant aAskedAt)
+  {
+    Authority::GroupRecord record;
+    record.group = "g";
+    record.term = 1;
+    record.primary = "p";
+    StoredRow self = Pooler::MemberRoster::RowOf(Settings().self);
+    self.version = 3;
+    node.ApplyOwnRows(
+      { true,
+        { { "group/g", record.ToText(), kRecordVersion }, self },
+        kRecordVersion,
+        aAskedAt });
+  }
+
+  void Pass(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
+  bool HoldsAuthority()
+  {
+    return node.FindRouter("g")->Authority().Holds(time.Now());
+  }
+
+  void Write(const StoredRow&, std::function<void(WriteOutcome)> aDone) override
+  {
+    time.DeferFor(2ms, [aDone] { aDone({ WriteResult::Applied, 3 }); });
+  }
+  void Remove(const StoredRow&, std::function<void(WriteOutcome)>) override {}
+  void Read(const std::string&,
+            std::function<void(std::optional<StoredRow>)>) override
+  {
+    // The lease is never seen, so that this node never takes the duty.
+  }
+  void SendHeartbeat(const Pooler::Member&,
+                     const Pooler::Heartbeat&,
+                     std::function<void(Pooler::HeartbeatAnswer)>) override
+  {
+  }
+  void SendRecord(const Pooler::Member&,
+                  const Authority::GroupRecord&,
+                  std::function<void(Pooler::PeerDelivery)>) override
+  {
+  }
+  void FetchRecords(
+    const Pooler::Member&,
+    const std::string&,
+    std::function<void(std::vector<Pooler::RelayedRecord>)>) override
+  {
+  }
+  void Promote(const Call&,
+               std::function<void(Authority::PromoteResult)>) override
+  {
+  }
+
+  Simulation::VirtualTime time;
+  Fakes::FakeDatabases databases;
+  Pooler::RelayBook relays;
+  Metrics::Registry metrics;
+  Pooler::Node node;
+};
+
+/** A heartbeat that comes when the node's own lease is over. */
+struct HeartbeatCase
+{
+  const char* name;
+  const char* receiver;
+  bool hasEcho;
+  /** How long ago the node's clock showed what is echoed. */
+  Core::Duration echoAge;
+  std::optional<std::uint64_t> newestRecord;
+  bool renews;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const HeartbeatCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const HeartbeatCase kHeartbeats[] = {
+  { "a fresh echo", "me#1", true, 300ms, kRecordVersion, true },
+  { "no echo yet", "me#1", false, 0ms, kRecordVersion, false },
+  { "an echo older than the lease",
+    "me#1",
+    true,
+    7600ms,
+    kRecordVersion,
+    false },
+  { "an echo from before the registration",
+    "me#1",
+    true,
+    30s,
+    kRecordVersion,
+    false },
+  { "meant for an earlier process",
+    "me#0",
+    true,
+    300ms,
+    kRecordVersion,
+    false },
+  { "a newer record exists", "me#1", true, 300ms, kRecordVersion + 1, false },
+  { "the sender may not say so", "me#1", true, 300ms, std::nullopt, false },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE_F(Fixture, AHeartbeatRenewsAuthority, kHeartbeats)
+{
+  Pass(1s);
+  Join();
+  Pass(10s);
+  BOOST_REQUIRE(!HoldsAuthority());
+  Pooler::Heartbeat heartbeat;
+  heartbeat.sender = "holder#1";
+  heartbeat.receiver = sample.receiver;
+  if (sample.hasEcho)
+    heartbeat.echo = time.Now() - sample.echoAge;
+  heartbeat.newestRecord = sample.newestRecord;
+  node.OnHeartbeat(heartbeat);
+  BOOST_TEST(HoldsAuthority() == sample.renews);
+}
+
+BOOST_FIXTURE_TEST_SUITE(Nodes, Fixture)
+
+BOOST_AUTO_TEST_CASE(AConfigurationNeverReverts)
+{
+  node.ApplyConfiguration(ConfigurationOf(7, "market"));
+  node.ApplyConfiguration(ConfigurationOf(6, "shop"));
+  BOOST_TEST(node.FindRoute("market") != nullptr);
+  BOOST_TEST(node.FindRoute("shop") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingReplicaGetsNoNewReads)
+{
+  Join();
+  Pass(500ms);
+  Pooler::RoutingNeed need;
+  need.needsPrimary = false;
+  need.maxStaleness = 1500ms;
+  ListDatabases("a");
+  for (int i = 0; i < 10; ++i) {
+    const auto choice = node.FindRouter("g")->Choose(need);
+    BOOST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->pool->Info().id != "a");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnswersToQuestionsBeforeTheRegistrationGiveNoAuthority)
+{
+  const Core::Instant before = time.Now();
+  node.Register([] {});
+  Pass(10ms);
+  ShowRows(before);
+  BOOST_TEST(!HoldsAuthority());
+  ShowRows(time.Now());
+  BOOST_TEST(HoldsAuthority());
+}
+
+BOOST_AUTO_TEST_CASE(ARecordFromAPeerEndsAuthorityAtOnce)
+{
+  Join();
+  BOOST_REQUIRE(HoldsAuthority());
+  Authority::GroupRecord change = *node.FindRouter("g")->Authority().Record();
+  change.change = Authority::PrimaryChange{};
+  ++change.version;
+  node.OnRecord(change);
+  BOOST_TEST(!HoldsAuthority());
+  // The store's follower is behind and shows the record as it was before.
+  ShowRows(time.Now());
+  BOOST_TEST(!HoldsAuthority());
+}
+
+BOOST_AUTO_TEST_CASE(AgesAreGivenOnlyToThoseWhoTakePart)
+{
+  Join();
+  const auto own = node.RecordsFor("me#1");
+  BOOST_REQUIRE(own.size() == 1);
+  BOOST_TEST(own.front().age.has_value());
+  const auto stranger = node.RecordsFor("gone#1");
+  BOOST_REQUIRE(stranger.size() == 1);
+  BOOST_TEST(!stranger.front().age.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsReadyOnlyWhileAPrimaryMayBeUsed)
+{
+  BOOST_TEST(!node.IsReady());
+  Join();
+  BOOST_TEST(node.IsReady());
+  Pass(8s);
+  BOOST_TEST(!node.IsReady());
+  ShowRows(time.Now());
+  BOOST_TEST(node.IsReady());
+  node.BeginStop();
+  BOOST_TEST(!node.IsReady());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
