--- a/Tests/LibPooler/TestNode.cpp
+++ b/Tests/LibPooler/TestNode.cpp
@@ -6,7 +6,6 @@
 
 #include <LibPooler/Node.h>
 
-namespace data = boost::unit_test::data;
 using namespace std::chrono_literals;
 using Authority::StoredRow;
 using Authority::WriteOutcome;
