--- /dev/null
+++ b/Libraries/LibPeers/CheckoutMessages.cpp
@@ -0,0 +1,323 @@
+#include "CheckoutMessages.h"
+
+#include <LibWire/FieldReader.h>
+
+#include <boost/json.hpp>
+
+#include <limits>
+#include <utility>
+
+namespace Peers {
+
+namespace {
+
+constexpr std::int64_t kAnyNumber = std::numeric_limits<std::int64_t>::max();
+
+/** Statements are bytes; they needn't be readable text. */
+boost::json::parse_options
+ParseOptions()
+{
+  boost::json::parse_options options;
+  options.allow_invalid_utf8 = true;
+  return options;
+}
+
+std::optional<boost::json::object>
+ParseLine(std::string_view aLine, Core::Findings& aFindings)
+{
+  boost::system::error_code error;
+  boost::json::value value =
+    boost::json::parse(boost::json::string_view(aLine.data(), aLine.size()),
+                       error,
+                       {},
+                       ParseOptions());
+  if (error || !value.is_object()) {
+    aFindings.Add("", error ? error.message() : "must be an object");
+    return std::nullopt;
+  }
+  return std::move(value.as_object());
+}
+
+void
+SetPosition(boost::json::object& aObject,
+            const std::optional<Session::LogPosition>& aPosition)
+{
+  if (!aPosition)
+    return;
+  aObject["term"] = aPosition->term;
+  aObject["position"] = aPosition->position;
+}
+
+std::optional<Session::LogPosition>
+ReadPosition(Wire::FieldReader& aReader)
+{
+  const auto term = aReader.OptionalInteger("term", 0, kAnyNumber);
+  const auto position = aReader.OptionalInteger("position", 0, kAnyNumber);
+  if (!term || !position)
+    return std::nullopt;
+  return Session::LogPosition{ static_cast<Session::Term>(*term),
+                               static_cast<std::uint64_t>(*position) };
+}
+
+template<typename Names>
+auto
+ReadName(Wire::FieldReader& aReader,
+         const Names& aNames,
+         std::string_view aKey,
+         Core::Findings& aFindings)
+{
+  const auto value = aNames.ValueOf(aReader.String(aKey));
+  if (!value)
+    aFindings.Add(std::string(aKey), "isn't known");
+  return value.value_or(aNames.entries.front().first);
+}
+
+boost::json::object
+ToJson(const Pooler::CheckoutRequest& aRequest)
+{
+  boost::json::object values;
+  for (const auto& [name, value] : aRequest.values)
+    values[name] = value;
+  boost::json::object json{ { "kind", "request" },
+                            { "database", aRequest.database },
+                            { "due_us", aRequest.dueIn.count() },
+                            { "values", std::move(values) },
+                            { "prove", aRequest.mustProve } };
+  if (aRequest.shape)
+    json["shape"] = *aRequest.shape;
+  return json;
+}
+
+boost::json::object
+ToJson(const Sql::DatabaseCommand& aCommand)
+{
+  boost::json::object json{ { "kind", "command" },
+                            { "command",
+                              Sql::kCommandKindNames.NameOf(aCommand.kind) },
+                            { "request", aCommand.requestId },
+                            { "text", aCommand.text },
+                            { "name", aCommand.name },
+                            { "argument", aCommand.argument } };
+  if (aCommand.kind == Sql::CommandKind::StepDown)
+    json["step_down_term"] = aCommand.term;
+  SetPosition(json, aCommand.atLeast);
+  return json;
+}
+
+boost::json::object
+ToJson(const Pooler::CheckoutReturn& aReturn)
+{
+  return { { "kind", "return" },
+           { "clean", aReturn.isClean },
+           { "changed", aReturn.isChanged } };
+}
+
+boost::json::object
+ToJson(const Pooler::CheckoutGrant& aGrant)
+{
+  boost::json::object json{ { "kind", "grant" },
+                            { "shape_name", aGrant.shapeName },
+                            { "last_name", aGrant.lastName } };
+  SetPosition(json, aGrant.position);
+  return json;
+}
+
+boost::json::object
+ToJson(Pooler::CheckoutRefusal aRefusal)
+{
+  return { { "kind", "refusal" },
+           { "reason", Pooler::kCheckoutRefusalNames.NameOf(aRefusal) } };
+}
+
+boost::json::object
+ToJson(CheckoutWaiting)
+{
+  return { { "kind", "waiting" } };
+}
+
+boost::json::object
+ToJson(const Sql::DatabaseReply& aReply)
+{
+  boost::json::array rows;
+  for (const std::string& row : aReply.rows)
+    rows.emplace_back(row);
+  boost::json::object json{
+    { "kind", "reply" },
+    { "complete", aReply.isComplete },
+    { "rows", std::move(rows) },
+    { "signature", aReply.signature },
+    { "state", Sql::kTransactionStateNames.NameOf(aReply.state) }
+  };
+  if (aReply.error) {
+    json["error"] = Sql::kErrorCodeNames.NameOf(aReply.error->code);
+    json["error_text"] = aReply.error->text;
+  }
+  SetPosition(json, aReply.position);
+  return json;
+}
+
+Pooler::CheckoutRequest
+ReadRequest(Wire::FieldReader& aReader, Core::Findings& aFindings)
+{
+  Pooler::CheckoutRequest request;
+  request.database = aReader.String("database");
+  request.dueIn =
+    Core::Duration(aReader.Integer("due_us", -kAnyNumber, kAnyNumber));
+  request.shape = aReader.OptionalString("shape");
+  request.mustProve = aReader.Boolean("prove", false);
+  const boost::json::object* values = aReader.Object("values");
+  if (values == nullptr)
+    return request;
+  for (const auto& [name, value] : *values) {
+    if (value.is_string())
+      request.values[std::string(name)] = std::string(value.as_string());
+    else
+      aFindings.Add("values", "must be texts");
+  }
+  return request;
+}
+
+Sql::DatabaseCommand
+ReadCommand(Wire::FieldReader& aReader, Core::Findings& aFindings)
+{
+  Sql::DatabaseCommand command;
+  command.kind =
+    ReadName(aReader, Sql::kCommandKindNames, "command", aFindings);
+  command.requestId = aReader.String("request");
+  command.text = aReader.String("text");
+  command.name = aReader.String("name");
+  command.argument = aReader.String("argument");
+  const auto term = aReader.OptionalInteger("step_down_term", 0, kAnyNumber);
+  command.term = static_cast<Session::Term>(term.value_or(0));
+  command.atLeast = ReadPosition(aReader);
+  return command;
+}
+
+Pooler::CheckoutReturn
+ReadReturn(Wire::FieldReader& aReader)
+{
+  Pooler::CheckoutReturn result;
+  result.isClean = aReader.Boolean("clean", false);
+  result.isChanged = aReader.Boolean("changed", true);
+  return result;
+}
+
+Pooler::CheckoutGrant
+ReadGrant(Wire::FieldReader& aReader)
+{
+  Pooler::CheckoutGrant grant;
+  grant.shapeName = aReader.String("shape_name");
+  grant.lastName =
+    static_cast<std::uint64_t>(aReader.Integer("last_name", 0, kAnyNumber));
+  grant.position = ReadPosition(aReader);
+  return grant;
+}
+
+Sql::DatabaseReply
+ReadReply(Wire::FieldReader& aReader, Core::Findings& aFindings)
+{
+  Sql::DatabaseReply reply;
+  reply.isComplete = aReader.Boolean("complete", false);
+  reply.signature = aReader.String("signature");
+  reply.state =
+    ReadName(aReader, Sql::kTransactionStateNames, "state", aFindings);
+  reply.position = ReadPosition(aReader);
+  if (const auto code = aReader.OptionalString("error"))
+    reply.error = Sql::Error{ Sql::kErrorCodeNames.ValueOf(*code).value_or(
+                                Sql::ErrorCode::Other),
+                              aReader.String("error_text") };
+  const boost::json::array* rows = aReader.OptionalArray("rows");
+  if (rows == nullptr)
+    return reply;
+  for (const boost::json::value& row : *rows) {
+    if (row.is_string())
+      reply.rows.emplace_back(row.as_string());
+    else
+      aFindings.Add("rows", "must be texts");
+  }
+  return reply;
+}
+
+template<typename Message>
+std::string
+ToLine(const Message& aMessage)
+{
+  return std::visit(
+    [](const auto& aBody) {
+      return boost::json::serialize(ToJson(aBody)) + "\r\n";
+    },
+    aMessage);
+}
+
+/** aRead gets the kind and the reader; what has findings isn't used. */
+template<typename Message, typename Read>
+std::optional<Message>
+FromLine(std::string_view aLine, Core::Findings& aFindings, Read aRead)
+{
+  const auto object = ParseLine(aLine, aFindings);
+  if (!object)
+    return std::nullopt;
+  Wire::FieldReader reader(*object, aFindings);
+  const std::string kind = reader.String("kind");
+  std::optional<Message> message = aRead(kind, reader);
+  if (!message)
+    aFindings.Add("kind", "isn't known");
+  if (!aFindings.IsEmpty())
+    return std::nullopt;
+  return message;
+}
+
+} // namespace
+
+std::string
+EncodeToOwner(const ToOwner& aMessage)
+{
+  return ToLine(aMessage);
+}
+
+std::string
+EncodeFromOwner(const FromOwner& aMessage)
+{
+  return ToLine(aMessage);
+}
+
+std::optional<ToOwner>
+DecodeToOwner(std::string_view aLine, Core::Findings& aFindings)
+{
+  return FromLine<ToOwner>(
+    aLine,
+    aFindings,
+    [&aFindings](const std::string& aKind,
+                 Wire::FieldReader& aReader) -> std::optional<ToOwner> {
+      if (aKind == "request")
+        return ReadRequest(aReader, aFindings);
+      if (aKind == "command")
+        return ReadCommand(aReader, aFindings);
+      if (aKind == "return")
+        return ReadReturn(aReader);
+      return std::nullopt;
+    });
+}
+
+std::optional<FromOwner>
+DecodeFromOwner(std::string_view aLine, Core::Findings& aFindings)
+{
+  return FromLine<FromOwner>(
+    aLine,
+    aFindings,
+    [&aFindings](const std::string& aKind,
+                 Wire::FieldReader& aReader) -> std::optional<FromOwner> {
+      if (aKind == "grant")
+        return ReadGrant(aReader);
+      if (aKind == "refusal")
+        return ReadName(
+          aReader, Pooler::kCheckoutRefusalNames, "reason", aFindings);
+      if (aKind == "waiting")
+        return CheckoutWaiting{};
+      if (aKind == "reply")
+        return ReadReply(aReader, aFindings);
+      return std::nullopt;
+    });
+}
+
+} // namespace Peers
--- /dev/null
+++ b/Libraries/LibPooler/CheckoutSession.cpp
@@ -0,0 +1,185 @@
+#include <LibPooler/CheckoutSession.h>
+
+#include <LibPooler/CommandBatch.h>
+
+#include <utility>
+
+namespace Pooler {
+
+namespace {
+
+/** A node that hears nothing for twice as long takes this one for silent. */
+constexpr Core::Duration kWaitingInterval = std::chrono::milliseconds(150);
+
+} // namespace
+
+CheckoutSession::CheckoutSession(Core::Scheduler& aScheduler,
+                                 CheckoutHost& aHost,
+                                 CheckoutPort& aPort)
+  : scheduler_(aScheduler)
+  , host_(aHost)
+  , port_(aPort)
+{
+}
+
+CheckoutSession::~CheckoutSession()
+{
+  *alive_ = false;
+  if (pool_ == nullptr)
+    return;
+  pool_->Cancel(ticket_);
+  if (connection_ != nullptr)
+    pool_->Release(connection_, false);
+}
+
+void
+CheckoutSession::OnRequest(CheckoutRequest aRequest)
+{
+  if (pool_ != nullptr) {
+    port_.Close();
+    return;
+  }
+  request_ = std::move(aRequest);
+  pool_ = host_.OwnPool(request_.database);
+  if (pool_ == nullptr) {
+    Refuse(CheckoutRefusal::NotOwner);
+    return;
+  }
+  waiting_ =
+    scheduler_.Every(kWaitingInterval, [this] { port_.SendWaiting(); });
+  const auto pool = pool_;
+  const auto alive = alive_;
+  const std::uint64_t ticket = pool->Acquire(
+    { scheduler_.Now() + request_.dueIn,
+      request_.values,
+      request_.shape,
+      request_.mustProve },
+    [this, alive](PooledConnectionHandle aConnection, PoolRefusal) {
+      if (!*alive)
+        return;
+      ticket_ = 0;
+      if (aConnection == nullptr)
+        Refuse(CheckoutRefusal::Unreachable);
+      else
+        Prepare(std::move(aConnection));
+    });
+  if (*alive && pool_ != nullptr && connection_ == nullptr)
+    ticket_ = ticket;
+}
+
+void
+CheckoutSession::Prepare(PooledConnectionHandle aConnection)
+{
+  connection_ = std::move(aConnection);
+  const std::string* shape = request_.shape ? &*request_.shape : nullptr;
+  const bool mustProve =
+    request_.mustProve && connection_->IsRested(scheduler_.Now());
+  const auto commands =
+    mustProve ? connection_->state.PrepareAnew(request_.values, shape)
+              : connection_->state.Prepare(request_.values, shape);
+  if (commands.empty()) {
+    Grant();
+    return;
+  }
+  batch_ =
+    SendBatch(scheduler_,
+              *connection_->link,
+              commands,
+              kPreparationTimeout,
+              [this, count = commands.size()](const BatchResult& aResult) {
+                if (!aResult.isSilent && aResult.failed == count) {
+                  Grant();
+                  return;
+                }
+                pool_->RecordFailure();
+                Refuse(CheckoutRefusal::Unreachable);
+              });
+}
+
+void
+CheckoutSession::Grant()
+{
+  waiting_.reset();
+  isGranted_ = true;
+  CheckoutGrant grant;
+  if (request_.shape)
+    grant.shapeName = connection_->state.NameOf(*request_.shape);
+  grant.lastName = connection_->state.LastName();
+  grant.position = pool_->Position();
+  WatchIdleness();
+  port_.SendGrant(grant);
+}
+
+void
+CheckoutSession::Refuse(CheckoutRefusal aRefusal)
+{
+  waiting_.reset();
+  GiveBack(false);
+  port_.SendRefusal(aRefusal);
+}
+
+void
+CheckoutSession::WatchIdleness()
+{
+  idle_ = scheduler_.After(host_.CheckoutIdleLimit(), [this] {
+    // The node that has it was stopped or cut off; the channel may look open.
+    GiveBack(false);
+    port_.Close();
+  });
+}
+
+void
+CheckoutSession::OnCommand(const Sql::DatabaseCommand& aCommand)
+{
+  if (!isGranted_) {
+    port_.Close();
+    return;
+  }
+  idle_.reset();
+  ++unanswered_;
+  connection_->link->Send(
+    aCommand, [this, alive = alive_](const Sql::DatabaseReply& aReply) {
+      if (*alive)
+        OnReply(aReply);
+    });
+}
+
+void
+CheckoutSession::OnReply(const Sql::DatabaseReply& aReply)
+{
+  if (!isGranted_)
+    return;
+  --unanswered_;
+  if (aReply.position)
+    pool_->RecordPosition(*aReply.position);
+  if (unanswered_ == 0)
+    WatchIdleness();
+  port_.SendReply(aReply);
+}
+
+void
+CheckoutSession::OnReturn(const CheckoutReturn& aReturn)
+{
+  if (!isGranted_) {
+    port_.Close();
+    return;
+  }
+  if (aReturn.isChanged)
+    connection_->state.Forget();
+  GiveBack(aReturn.isClean && unanswered_ == 0);
+}
+
+void
+CheckoutSession::GiveBack(bool aIsClean)
+{
+  batch_.reset();
+  idle_.reset();
+  isGranted_ = false;
+  unanswered_ = 0;
+  const auto pool = std::exchange(pool_, nullptr);
+  const auto connection = std::exchange(connection_, nullptr);
+  if (connection != nullptr)
+    pool->Release(connection, aIsClean);
+}
+
+} // namespace Pooler
--- a/Libraries/LibPooler/ConnectionPool.cpp
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -27,17 +27,28 @@
 /** A rollback takes a round trip; a connection that takes longer is closed. */
 constexpr Core::Duration kRollbackTimeout = std::chrono::milliseconds(300);
 
+/** A connection that rested longer proves itself before it carries a write. */
+constexpr Core::Duration kProofAfter = std::chrono::milliseconds(1000);
+
 /** How long a database that failed is avoided. */
 constexpr Core::Duration kSuspicion = std::chrono::milliseconds(1500);
 
 } // namespace
 
+bool
+PooledConnection::IsRested(Core::Instant aNow) const
+{
+  return aNow - idleSince > kProofAfter;
+}
+
 ConnectionPool::ConnectionPool(Core::Scheduler& aScheduler,
                                Sql::DatabaseDialer& aDialer,
-                               Database aDatabase)
+                               Database aDatabase,
+                               RemotePools* aRemote)
   : scheduler_(aScheduler)
   , dialer_(aDialer)
   , database_(std::move(aDatabase))
+  , remote_(aRemote)
   , sweep_(aScheduler.Every(kSweepInterval, [this] { CloseRested(); }))
   , averageMicroseconds_(kFirstLatencyMicroseconds)
 {
@@ -46,12 +57,27 @@
 ConnectionPool::~ConnectionPool()
 {
   *alive_ = false;
+  for (const auto& [ticket, waiter] : checkouts_)
+    remote_->Cancel(waiter.remoteTicket);
 }
 
 void
 ConnectionPool::SetLimit(int aLimit)
 {
-  limit_ = std::max(aLimit, 1);
+  limit_ = std::max(aLimit, remote_ != nullptr ? 0 : 1);
+  CloseSurplus();
+  if (limit_ > 0)
+    return;
+  auto waiters = std::exchange(waiters_, {});
+  for (auto& [rank, waiter] : waiters)
+    CheckOut(waiter.ticket, std::move(waiter.need), std::move(waiter.receiver));
+}
+
+void
+ConnectionPool::CloseSurplus()
+{
+  while (Open() > limit_ && !idle_.empty())
+    idle_.pop_back();
 }
 
 PooledConnectionHandle
@@ -71,24 +97,27 @@
 }
 
 std::uint64_t
-ConnectionPool::Acquire(Core::Instant aDue,
-                        const Values& aValues,
-                        Receiver aReceiver)
+ConnectionPool::Acquire(ConnectionNeed aNeed, Receiver aReceiver)
 {
   if (isRetired_) {
     aReceiver(nullptr, PoolRefusal::Unreachable);
     return 0;
   }
   if (waiters_.empty()) {
-    if (auto connection = TakeIdle(aValues)) {
+    if (auto connection = TakeIdle(aNeed.values)) {
       ++inUse_;
       aReceiver(connection, PoolRefusal::None);
       return 0;
     }
   }
   const std::uint64_t ticket = ++lastTicket_;
-  waiters_.emplace(Rank{ aDue, ticket },
-                   Waiter{ ticket, aValues, std::move(aReceiver) });
+  if (!IsOwner()) {
+    CheckOut(ticket, std::move(aNeed), std::move(aReceiver));
+    return ticket;
+  }
+  const Rank rank{ aNeed.due, ticket };
+  waiters_.emplace(rank,
+                   Waiter{ ticket, std::move(aNeed), std::move(aReceiver) });
   DialIfNeeded();
   return ticket;
 }
@@ -99,6 +128,68 @@
   std::erase_if(waiters_, [aTicket](const auto& aEntry) {
     return aEntry.second.ticket == aTicket;
   });
+  if (const auto checkout = checkouts_.extract(aTicket))
+    remote_->Cancel(checkout.mapped().remoteTicket);
+}
+
+void
+ConnectionPool::CheckOut(std::uint64_t aTicket,
+                         ConnectionNeed aNeed,
+                         Receiver aReceiver)
+{
+  const Core::Instant now = scheduler_.Now();
+  CheckoutRequest request;
+  request.database = database_.id;
+  request.dueIn = aNeed.due - now;
+  request.values = aNeed.values;
+  request.shape = aNeed.shape;
+  request.mustProve = aNeed.mustProve;
+  const auto connection = std::make_shared<PooledConnection>();
+  const std::uint64_t remoteTicket = remote_->Checkout(
+    database_.group,
+    std::move(request),
+    [this, alive = alive_, aTicket, connection](CheckoutOutcome aOutcome) {
+      if (*alive)
+        OnCheckedOut(aTicket, std::move(aOutcome), connection);
+    },
+    [weak = std::weak_ptr(connection)] {
+      if (const auto lost = weak.lock())
+        lost->isLost = true;
+    });
+  checkouts_.emplace(
+    aTicket,
+    RemoteWaiter{ remoteTicket, std::move(aNeed), std::move(aReceiver), now });
+}
+
+void
+ConnectionPool::OnCheckedOut(std::uint64_t aTicket,
+                             CheckoutOutcome aOutcome,
+                             const PooledConnectionHandle& aConnection)
+{
+  const auto node = checkouts_.extract(aTicket);
+  if (!node)
+    return;
+  const RemoteWaiter& waiter = node.mapped();
+  const Core::Duration waited = scheduler_.Now() - waiter.since;
+  checkoutMicroseconds_ +=
+    kLatencyWeight *
+    (static_cast<double>(waited.count()) - checkoutMicroseconds_);
+  if (aOutcome.link == nullptr) {
+    RecordFailure();
+    waiter.receiver(nullptr, PoolRefusal::Unreachable);
+    return;
+  }
+  ++inUse_;
+  if (aOutcome.grant.position)
+    RecordPosition(*aOutcome.grant.position);
+  aConnection->link = aOutcome.link;
+  aConnection->checkedOut = std::move(aOutcome.link);
+  aConnection->idleSince = scheduler_.Now();
+  aConnection->state.Adopt(waiter.need.values,
+                           waiter.need.shape ? &*waiter.need.shape : nullptr,
+                           aOutcome.grant.shapeName,
+                           aOutcome.grant.lastName);
+  waiter.receiver(aConnection, PoolRefusal::None);
 }
 
 ConnectionPool::Waiters::iterator
@@ -114,7 +205,7 @@
 {
   while (!waiters_.empty() && !idle_.empty()) {
     auto node = waiters_.extract(NextWaiter());
-    PooledConnectionHandle connection = TakeIdle(node.mapped().values);
+    PooledConnectionHandle connection = TakeIdle(node.mapped().need.values);
     ++inUse_;
     const std::shared_ptr<bool> alive = alive_;
     node.mapped().receiver(connection, PoolRefusal::None);
@@ -138,7 +229,8 @@
       });
     return;
   }
-  while (dialling_ < Waiting() && Open() + dialling_ < limit_) {
+  while (dialling_ < static_cast<int>(waiters_.size()) &&
+         Open() + dialling_ < limit_) {
     ++dialling_;
     ++dials_;
     auto connection = std::make_shared<PooledConnection>();
@@ -199,6 +291,13 @@
     if (!*alive)
       return;
   }
+  auto checkouts = std::exchange(checkouts_, {});
+  for (auto& [ticket, waiter] : checkouts) {
+    remote_->Cancel(waiter.remoteTicket);
+    waiter.receiver(nullptr, PoolRefusal::Unreachable);
+    if (!*alive)
+      return;
+  }
 }
 
 void
@@ -206,7 +305,13 @@
                         bool aIsClean)
 {
   --inUse_;
-  if (aIsClean && !aConnection->isLost && !isRetired_) {
+  const bool isClean = aIsClean && !aConnection->isLost;
+  if (const auto checkedOut = std::exchange(aConnection->checkedOut, nullptr)) {
+    checkedOut->Return({ isClean, aConnection->state.IsChanged() });
+    aConnection->link.reset();
+    return;
+  }
+  if (isClean && !isRetired_ && Open() < limit_) {
     aConnection->idleSince = scheduler_.Now();
     idle_.push_front(aConnection);
   } else {
@@ -294,6 +399,10 @@
 ConnectionPool::ExpectedLatency() const
 {
   const int ahead = inUse_ + Waiting();
+  // Of the queue at another node only the time that it takes is known.
+  if (!IsOwner())
+    return Core::Duration(
+      static_cast<long long>(averageMicroseconds_ + checkoutMicroseconds_));
   const double rounds = 1.0 + static_cast<double>(ahead) / limit_;
   return Core::Duration(static_cast<long long>(averageMicroseconds_ * rounds));
 }
--- a/Libraries/LibPooler/GroupRouter.cpp
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -28,11 +28,13 @@
                          Sql::DatabaseDialer& aDialer,
                          std::string aName,
                          std::string aDataCentre,
-                         Authority::AuthorityLease aLease)
+                         Authority::AuthorityLease aLease,
+                         RemotePools* aRemote)
   : scheduler_(aScheduler)
   , dialer_(aDialer)
   , name_(std::move(aName))
   , dataCentre_(std::move(aDataCentre))
+  , remote_(aRemote)
   , authority_(aLease)
 {
 }
@@ -52,7 +54,8 @@
       kept.insert(*known);
       continue;
     }
-    auto pool = std::make_shared<ConnectionPool>(scheduler_, dialer_, database);
+    auto pool =
+      std::make_shared<ConnectionPool>(scheduler_, dialer_, database, remote_);
     pool->SetLimit(connectionLimit_);
     kept.emplace(database.id, std::move(pool));
   }
--- a/Libraries/LibPooler/MemberRoster.cpp
+++ b/Libraries/LibPooler/MemberRoster.cpp
@@ -12,6 +12,8 @@
                                   { "data_centre", aMember.dataCentre },
                                   { "address", aMember.address.ToText() },
                                   { "relay", aMember.relay.ToText() },
+                                  { "checkouts", aMember.checkouts.ToText() },
+                                  { "processors", aMember.processors },
                                   { "expelled", aMember.isExpelled } };
   return { std::string(kKeyPrefix) + aMember.Key(),
            boost::json::serialize(json),
@@ -39,8 +41,12 @@
       std::string(fields.at("address").as_string()), aReason);
     const auto relay = Wire::Address::Parse(
       std::string(fields.at("relay").as_string()), aReason);
-    if (!address || !relay)
+    const auto checkouts = Wire::Address::Parse(
+      std::string(fields.at("checkouts").as_string()), aReason);
+    if (!address || !relay || !checkouts)
       return false;
+    member.processors = fields.at("processors").to_number<double>();
+    member.checkouts = *checkouts;
     member.address = *address;
     member.relay = *relay;
   } catch (const std::exception& error) {
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -1,5 +1,7 @@
 #include <LibPooler/Node.h>
 
+#include <LibPooler/PoolOwners.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -31,6 +33,25 @@
 /** A node that the store hasn't answered for this long asks a peer. */
 constexpr Core::Duration kStoreSilence = std::chrono::milliseconds(3500);
 
+/**
+ * A transaction that rests is ended by the node that it belongs to; whoever
+ * lets that node use the connection waits this much longer. Without a limit for
+ * transactions, a node that was stopped or cut off may keep it so long.
+ */
+constexpr Core::Duration kCheckoutMargin = std::chrono::milliseconds(1000);
+constexpr Core::Duration kMaxCheckoutRest = std::chrono::seconds(30);
+
+/** The place of a member in a list; the list's size if it isn't there. */
+std::size_t
+RankAmong(const std::vector<Member>& aMembers, const std::string& aKey)
+{
+  const auto found = std::find_if(
+    aMembers.begin(), aMembers.end(), [&aKey](const Member& aMember) {
+      return aMember.Key() == aKey;
+    });
+  return static_cast<std::size_t>(found - aMembers.begin());
+}
+
 bool
 StartsWith(std::string_view aText, std::string_view aPrefix)
 {
@@ -80,6 +101,7 @@
         Observe(aRecord, aAskedAt);
       },
       log_)
+  , remotePools_(aScheduler, aLinks.checkouts, settings_.self.dataCentre)
   , tick_(aScheduler.Every(kTickInterval, [this] { Tick(); }))
   , sampler_(aScheduler.Every(kSampleInterval, [this] { KeepSamplesFresh(); }))
 {
@@ -145,7 +167,8 @@
                                            links_.dialer,
                                            aName,
                                            settings_.self.dataCentre,
-                                           settings_.authorityLease);
+                                           settings_.authorityLease,
+                                           &remotePools_);
   return *router;
 }
 
@@ -166,21 +189,51 @@
 Node::ShareConnections()
 {
   const std::vector<Member> present = membership_.Roster().Present();
-  const auto self =
-    std::find_if(present.begin(), present.end(), [this](const Member& aMember) {
-      return aMember.Key() == memberKey_;
-    });
-  const auto rank = static_cast<std::size_t>(self - present.begin());
   std::size_t groupIndex = 0;
-  for (auto& [name, router] : routers_) {
-    const auto limit = configuration_.maxConnections.find(name);
-    if (limit == configuration_.maxConnections.end())
-      continue;
-    const auto usable =
-      static_cast<int>(limit->second * settings_.connectionShare);
-    router->SetConnectionLimit(
-      ShareOf(usable, present.size(), rank + groupIndex++));
-  }
+  for (auto& [name, router] : routers_)
+    ShareGroup(*router, present, groupIndex++);
+}
+
+void
+Node::ShareGroup(GroupRouter& aRouter,
+                 const std::vector<Member>& aPresent,
+                 std::size_t aGroupIndex)
+{
+  const auto limit = configuration_.maxConnections.find(aRouter.Name());
+  if (limit == configuration_.maxConnections.end())
+    return;
+  const auto usable =
+    static_cast<int>(limit->second * settings_.connectionShare);
+  std::vector<Member> owners = OwnersOf(aRouter.Name(), aPresent, usable);
+  const std::vector<Member>& sharers = owners.empty() ? aPresent : owners;
+  const auto rank = RankAmong(sharers, memberKey_);
+  const bool isOwner = owners.empty() || rank < sharers.size();
+  const int share =
+    isOwner ? ShareOf(usable, sharers.size(), rank + aGroupIndex) : 0;
+  remotePools_.SetOwners(aRouter.Name(), std::move(owners));
+  aRouter.SetConnectionLimit(share);
+}
+
+std::shared_ptr<ConnectionPool>
+Node::OwnPool(const std::string& aDatabase)
+{
+  const auto database = databases_.find(aDatabase);
+  if (isStopping_ || database == databases_.end())
+    return nullptr;
+  const GroupRouter* router = FindRouter(database->second.group);
+  if (router == nullptr)
+    return nullptr;
+  const auto pool = router->Pools().find(aDatabase);
+  const bool isOwner = pool != router->Pools().end() && pool->second->IsOwner();
+  return isOwner ? pool->second : nullptr;
+}
+
+Core::Duration
+Node::CheckoutIdleLimit() const
+{
+  const Core::Duration rest = configuration_.transactionIdleTimeout;
+  return rest == Core::Duration::zero() ? kMaxCheckoutRest
+                                        : rest + kCheckoutMargin;
 }
 
 void
@@ -420,8 +473,7 @@
   sampling_.insert(aRouter.Name());
   const auto finish = [this, name = aRouter.Name()] { sampling_.erase(name); };
   choice->pool->Acquire(
-    scheduler_.Now(),
-    {},
+    { scheduler_.Now() },
     [this, &aRouter, finish, choice = *choice](
       const PooledConnectionHandle& aConnection, PoolRefusal) {
       if (aConnection == nullptr) {
--- a/Libraries/LibPooler/SessionValues.cpp
+++ b/Libraries/LibPooler/SessionValues.cpp
@@ -22,7 +22,7 @@
 bool
 ConnectionState::Fits(const Values& aValues, const std::string* aShape) const
 {
-  return values_ == aValues &&
+  return !isUnknown_ && values_ == aValues &&
          (aShape == nullptr || prepared_.contains(*aShape));
 }
 
@@ -30,10 +30,11 @@
 ConnectionState::Prepare(const Values& aValues, const std::string* aShape)
 {
   std::vector<Sql::DatabaseCommand> commands;
-  if (HasSurplus(aValues) || prepared_.size() > kMaxPrepared) {
+  if (isUnknown_ || HasSurplus(aValues) || prepared_.size() > kMaxPrepared) {
     commands.push_back({ .kind = Sql::CommandKind::DiscardAll });
     values_.clear();
     prepared_.clear();
+    isUnknown_ = false;
   }
   for (const auto& [name, value] : aValues) {
     const auto held = values_.find(name);
@@ -56,6 +57,7 @@
                          .argument = *aShape });
     prepared_[*aShape] = name;
   }
+  isChanged_ = isChanged_ || !commands.empty();
   return commands;
 }
 
@@ -64,11 +66,28 @@
 {
   values_.clear();
   prepared_.clear();
+  isUnknown_ = false;
+  isChanged_ = true;
   std::vector<Sql::DatabaseCommand> commands = Prepare(aValues, aShape);
   commands.insert(commands.begin(), { .kind = Sql::CommandKind::DiscardAll });
   return commands;
 }
 
+void
+ConnectionState::Adopt(const Values& aValues,
+                       const std::string* aShape,
+                       const std::string& aShapeName,
+                       std::uint64_t aLastName)
+{
+  values_ = aValues;
+  prepared_.clear();
+  if (aShape != nullptr)
+    prepared_[*aShape] = aShapeName;
+  lastName_ = aLastName;
+  isUnknown_ = false;
+  isChanged_ = false;
+}
+
 const std::string&
 ConnectionState::NameOf(const std::string& aShape) const
 {
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -16,12 +16,6 @@
 /** How long a statement waits after its primary said that it is none. */
 constexpr Core::Duration kReadOnlyDelay = std::chrono::milliseconds(30);
 
-/** A connection that rested longer proves itself before it carries a write. */
-constexpr Core::Duration kProofAfter = std::chrono::milliseconds(1000);
-
-/** Preparing takes a round trip; a connection that takes longer is silent. */
-constexpr Core::Duration kPreparationTimeout = std::chrono::milliseconds(300);
-
 /**
  * Another database is asked when an answer takes this many times as long as
  * usual, and not before the least delay: ordinary work varies by less.
@@ -94,6 +88,12 @@
          !IsWrite();
 }
 
+bool
+StatementRun::MustBegin() const
+{
+  return IsFirstInTransaction() || IsFencedRead();
+}
+
 bool
 StatementRun::IsCommit() const
 {
@@ -198,8 +198,10 @@
   ++result_.attempts;
   const auto alive = alive_;
   const std::uint64_t ticket = choice_.pool->Acquire(
-    startedAt_ + context_.route.targetLatency,
-    context_.values,
+    { startedAt_ + context_.route.targetLatency,
+      context_.values,
+      Shape() != nullptr ? std::optional(*Shape()) : std::nullopt,
+      need_.needsPrimary },
     Guard([this](PooledConnectionHandle aConnection, PoolRefusal) {
       poolTicket_ = 0;
       if (aConnection == nullptr) {
@@ -219,65 +221,69 @@
   PrepareConnection();
 }
 
-void
-StatementRun::PrepareConnection()
+std::vector<Sql::DatabaseCommand>
+StatementRun::PreparationCommands()
 {
-  phase_ = Phase::Preparing;
   const bool isPinned = IsInTransaction() && !IsFirstInTransaction();
-  const bool isRested = !isPinned && need_.needsPrimary &&
-                        scheduler_.Now() - connection_->idleSince > kProofAfter;
-  auto commands = isRested
+  const bool mustProve =
+    !isPinned && need_.needsPrimary && connection_->IsRested(scheduler_.Now());
+  auto commands = mustProve
                     ? connection_->state.PrepareAnew(context_.values, Shape())
                     : connection_->state.Prepare(context_.values, Shape());
-  if (IsFirstInTransaction() || IsFencedRead()) {
-    // At a primary even a transaction that only reads is opened for writing,
-    // so that the database ends it when it steps down.
-    commands.push_back({ .kind = choice_.isPrimary
-                                   ? Sql::CommandKind::Begin
-                                   : Sql::CommandKind::BeginReadOnly });
-    commands.back().atLeast = choice_.floor;
-  }
-  pendingPreparations_ = static_cast<int>(commands.size());
+  if (!MustBegin())
+    return commands;
+  // At a primary even a transaction that only reads is opened for writing,
+  // so that the database ends it when it steps down.
+  commands.push_back({ .kind = choice_.isPrimary
+                                 ? Sql::CommandKind::Begin
+                                 : Sql::CommandKind::BeginReadOnly });
+  commands.back().atLeast = choice_.floor;
+  return commands;
+}
+
+void
+StatementRun::PrepareConnection()
+{
+  phase_ = Phase::Preparing;
+  const auto commands = PreparationCommands();
   if (commands.empty()) {
     SendStatement();
     return;
   }
-  retry_ = scheduler_.After(kPreparationTimeout, [this] {
-    choice_.pool->RecordFailure();
-    OnLost();
-  });
-  for (const Sql::DatabaseCommand& command : commands) {
-    const bool isBegin = command.kind == Sql::CommandKind::Begin ||
-                         command.kind == Sql::CommandKind::BeginReadOnly;
-    connection_->link->Send(
-      command, Guard([this, isBegin](const Sql::DatabaseReply& aReply) {
-        OnPrepared(aReply, isBegin);
-      }));
-  }
+  preparation_ =
+    SendBatch(scheduler_,
+              *connection_->link,
+              commands,
+              kPreparationTimeout,
+              [this, count = commands.size()](const BatchResult& aResult) {
+                OnPrepared(aResult, count);
+              });
 }
 
 void
-StatementRun::OnPrepared(const Sql::DatabaseReply& aReply, bool aIsBegin)
+StatementRun::OnPrepared(const BatchResult& aResult, std::size_t aCount)
 {
-  if (!aReply.isComplete) {
-    OnLost();
+  preparation_.reset();
+  if (!aResult.isSilent && aResult.failed == aCount) {
+    OnReadyToSend();
     return;
   }
-  --pendingPreparations_;
-  if (aReply.error && !aIsBegin) {
-    // The connection's state is unknown now.
-    choice_.pool->RecordFailure();
-    OnLost();
+  const bool isLost = !aResult.isSilent && !aResult.reply.isComplete;
+  const bool hasBeginFailed =
+    !isLost && !aResult.isSilent && MustBegin() && aResult.failed + 1 == aCount;
+  if (hasBeginFailed) {
+    OnError(aResult.reply);
     return;
   }
-  if (aReply.error) {
-    retry_.reset();
-    OnError(aReply);
-    return;
-  }
-  if (pendingPreparations_ > 0)
-    return;
-  retry_.reset();
+  // Silent, or the connection's state is unknown now.
+  if (!isLost)
+    choice_.pool->RecordFailure();
+  OnLost();
+}
+
+void
+StatementRun::OnReadyToSend()
+{
   if (IsFirstInTransaction()) {
     OpenTransaction& transaction = *context_.transaction;
     transaction.connection = connection_;
@@ -644,6 +650,7 @@
   waitLimit_.reset();
   retry_.reset();
   hedge_.reset();
+  preparation_.reset();
   router_.CancelWait(std::exchange(changeTicket_, 0));
   if (choice_.pool != nullptr)
     choice_.pool->Cancel(std::exchange(poolTicket_, 0));
--- a/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
+++ b/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Scheduler.h>
 #include <LibPooler/Fleet.h>
+#include <LibPooler/RemotePools.h>
 #include <LibPooler/SessionValues.h>
 #include <LibSql/DatabaseLink.h>
 
@@ -20,9 +21,30 @@
   ConnectionState state;
   Core::Instant idleSince{};
   bool isLost = false;
+  /** Set if another node has the connection; the same object as the link. */
+  std::shared_ptr<CheckedOutLink> checkedOut;
+
+  /** It rested so long that it should prove itself before a write. */
+  bool IsRested(Core::Instant aNow) const;
 };
 using PooledConnectionHandle = std::shared_ptr<PooledConnection>;
 
+/** What a connection is wanted for. */
+struct ConnectionNeed
+{
+  /** Orders those who wait. */
+  Core::Instant due;
+  /** What the connection should hold already, if there is a choice. */
+  Values values{};
+  std::optional<std::string> shape{};
+  /** A connection that rested must prove first that it still works. */
+  bool mustProve = false;
+};
+
+/** Preparing takes a round trip; a connection that takes longer is silent. */
+inline constexpr Core::Duration kPreparationTimeout =
+  std::chrono::milliseconds(300);
+
 /** Why a pool has no connection to give. */
 enum class PoolRefusal
 {
@@ -32,8 +54,9 @@
 };
 
 /**
- * This node's connections to one database. At most a limit are open; those who
- * wait are served by when they are due.
+ * This node's way to one database. At most a limit of connections are open;
+ * those who wait are served by when they are due. With a limit of 0, the
+ * connections are other nodes', checked out for each use.
  */
 class ConnectionPool
 {
@@ -45,22 +68,24 @@
 
   ConnectionPool(Core::Scheduler& aScheduler,
                  Sql::DatabaseDialer& aDialer,
-                 Database aDatabase);
+                 Database aDatabase,
+                 RemotePools* aRemote = nullptr);
   ~ConnectionPool();
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
+  /** 0 only where there are other nodes' pools; else at least 1 is taken. */
   void SetLimit(int aLimit);
+  /** True when this node opens connections itself. */
+  bool IsOwner() const { return limit_ > 0; }
   void Update(const Database& aDatabase) { database_ = aDatabase; }
   const Database& Info() const { return database_; }
 
   /**
-   * Gives a connection to aReceiver, at once or later. aDue orders those who
-   * wait. The ticket cancels the wait; 0 when it is over already.
+   * Gives a connection to aReceiver, at once or later. The ticket cancels the
+   * wait; 0 when it is over already.
    */
-  std::uint64_t Acquire(Core::Instant aDue,
-                        const Values& aValues,
-                        Receiver aReceiver);
+  std::uint64_t Acquire(ConnectionNeed aNeed, Receiver aReceiver);
   void Cancel(std::uint64_t aTicket);
 
   /** Takes a connection back; one that may be unclean is closed. */
@@ -108,15 +133,27 @@
 
   int Open() const { return static_cast<int>(idle_.size()) + inUse_; }
   int InUse() const { return inUse_; }
-  int Waiting() const { return static_cast<int>(waiters_.size()); }
+  int Waiting() const
+  {
+    return static_cast<int>(waiters_.size() + checkouts_.size());
+  }
   std::uint64_t Dials() const { return dials_; }
 
 private:
   struct Waiter
   {
     std::uint64_t ticket;
-    Values values;
+    ConnectionNeed need;
+    Receiver receiver;
+  };
+
+  /** One who waits for a connection of another node. */
+  struct RemoteWaiter
+  {
+    std::uint64_t remoteTicket;
+    ConnectionNeed need;
     Receiver receiver;
+    Core::Instant since;
   };
 
   using Waiters = std::map<Rank, Waiter>;
@@ -135,16 +172,26 @@
                  const PooledConnectionHandle& aConnection);
   void FailWaiters();
   void CloseRested();
+  void CloseSurplus();
+  void CheckOut(std::uint64_t aTicket,
+                ConnectionNeed aNeed,
+                Receiver aReceiver);
+  void OnCheckedOut(std::uint64_t aTicket,
+                    CheckoutOutcome aOutcome,
+                    const PooledConnectionHandle& aConnection);
 
   Core::Scheduler& scheduler_;
   Sql::DatabaseDialer& dialer_;
   Database database_;
+  RemotePools* remote_;
   int limit_ = 1;
   int inUse_ = 0;
   int dialling_ = 0;
   bool isRetired_ = false;
   std::list<PooledConnectionHandle> idle_;
   Waiters waiters_;
+  /** By ticket. */
+  std::map<std::uint64_t, RemoteWaiter> checkouts_;
   std::uint64_t lastTicket_ = 0;
   std::uint64_t dials_ = 0;
   int failedDials_ = 0;
@@ -152,6 +199,8 @@
   Core::TimerHandle redial_;
   Core::TimerHandle sweep_;
   double averageMicroseconds_ = 0;
+  /** How long a checkout at another node takes. */
+  double checkoutMicroseconds_ = 0;
   Core::Instant answeredAt_ = Core::Instant::min();
   int failures_ = 0;
   Core::Instant failedAt_{};
--- a/Libraries/LibPooler/include/LibPooler/GroupRouter.h
+++ b/Libraries/LibPooler/include/LibPooler/GroupRouter.h
@@ -51,9 +51,11 @@
               Sql::DatabaseDialer& aDialer,
               std::string aName,
               std::string aDataCentre,
-              Authority::AuthorityLease aLease);
+              Authority::AuthorityLease aLease,
+              RemotePools* aRemote = nullptr);
 
   void SetDatabases(const std::vector<Database>& aDatabases);
+  /** 0: the connections are other nodes'. */
   void SetConnectionLimit(int aLimit);
 
   void ObserveRecord(const Authority::GroupRecord& aRecord,
@@ -92,6 +94,7 @@
   Sql::DatabaseDialer& dialer_;
   std::string name_;
   std::string dataCentre_;
+  RemotePools* remote_;
   Authority::PrimaryAuthority authority_;
   Authority::SampleBook samples_;
   std::map<std::string, std::shared_ptr<ConnectionPool>> pools_;
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibMetrics/Metrics.h>
+#include <LibPooler/CheckoutSession.h>
 #include <LibPooler/ClientSession.h>
 #include <LibPooler/FailoverDuty.h>
 #include <LibPooler/Fleet.h>
@@ -34,6 +35,7 @@
   Promoter& promoter;
   PeerLink& peers;
   RelayBook& relays;
+  CheckoutDialer& checkouts;
 };
 
 /**
@@ -43,6 +45,7 @@
 class Node final
   : public SessionHost
   , public PeerHandler
+  , public CheckoutHost
 {
 public:
   Node(Core::Scheduler& aScheduler,
@@ -92,6 +95,10 @@
   bool AcceptsWork() const override { return !refusesWork_; }
   void Report(const StatementReport& aReport) override;
 
+  std::shared_ptr<ConnectionPool> OwnPool(
+    const std::string& aDatabase) override;
+  Core::Duration CheckoutIdleLimit() const override;
+
   const std::string& MemberKey() const override { return memberKey_; }
   HeartbeatAnswer OnHeartbeat(const Heartbeat& aHeartbeat) override;
   void OnRecord(const Authority::GroupRecord& aRecord) override;
@@ -113,6 +120,9 @@
   bool TakeRoutineLine();
   void LogStatement(const StatementReport& aReport, std::string_view aOutcome);
   void ShareConnections();
+  void ShareGroup(GroupRouter& aRouter,
+                  const std::vector<Member>& aPresent,
+                  std::size_t aGroupIndex);
   void ShareRelays();
   void Tick();
   void KeepSamplesFresh();
@@ -130,6 +140,7 @@
   std::string memberKey_;
   Membership membership_;
   FailoverDuty duty_;
+  RemotePools remotePools_;
   Configuration configuration_;
   DatabaseList databases_;
   bool hasConfiguration_ = false;
--- a/Libraries/LibPooler/include/LibPooler/Peers.h
+++ b/Libraries/LibPooler/include/LibPooler/Peers.h
@@ -24,6 +24,10 @@
   Wire::Address address;
   /** Where it passes connections on to databases. */
   Wire::Address relay;
+  /** Where it lets others use its connections to databases. */
+  Wire::Address checkouts;
+  /** The processor time that it may use, in cores. */
+  double processors = 1;
   /** It is taken to be gone, though its authority may not have ended yet. */
   bool isExpelled = false;
   /** The version of its row. */
--- a/Libraries/LibPooler/include/LibPooler/SessionValues.h
+++ b/Libraries/LibPooler/include/LibPooler/SessionValues.h
@@ -40,6 +40,21 @@
   /** The connection's name for a shape that Prepare has prepared. */
   const std::string& NameOf(const std::string& aShape) const;
 
+  /** The state of a connection that another node has prepared as given. */
+  void Adopt(const Values& aValues,
+             const std::string* aShape,
+             const std::string& aShapeName,
+             std::uint64_t aLastName);
+
+  /** The state is unknown; Prepare clears the connection first. */
+  void Forget() { isUnknown_ = true; }
+
+  /** True if Prepare has sent anything since Adopt. */
+  bool IsChanged() const { return isChanged_; }
+
+  /** Names with higher numbers are free. */
+  std::uint64_t LastName() const { return lastName_; }
+
   /** True when Prepare would send nothing. */
   bool Fits(const Values& aValues, const std::string* aShape) const;
 
@@ -50,6 +65,8 @@
   /** Shapes, and the names that they were prepared under. */
   std::map<std::string, std::string> prepared_;
   std::uint64_t lastName_ = 0;
+  bool isUnknown_ = false;
+  bool isChanged_ = false;
 };
 
 } // namespace Pooler
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibPooler/CommandBatch.h>
 #include <LibPooler/GroupRouter.h>
 #include <LibPooler/SessionValues.h>
 #include <LibPooler/StatementRules.h>
@@ -106,6 +107,8 @@
   /** A single read runs in a transaction of our own, to be rolled back. */
   bool IsFencedRead() const;
   bool IsFirstInTransaction() const;
+  /** The connection must open a transaction before the statement. */
+  bool MustBegin() const;
   bool IsInTransaction() const;
   bool IsCommit() const;
   bool IsWrite() const;
@@ -118,7 +121,9 @@
   void Acquire();
   void OnConnection(PooledConnectionHandle aConnection);
   void PrepareConnection();
-  void OnPrepared(const Sql::DatabaseReply& aReply, bool aIsBegin);
+  std::vector<Sql::DatabaseCommand> PreparationCommands();
+  void OnPrepared(const BatchResult& aResult, std::size_t aCount);
+  void OnReadyToSend();
   void SendStatement();
   /** Nobody else can have been promoted in the chosen primary's place. */
   bool HasAuthority() const;
@@ -160,7 +165,7 @@
   RoutingChoice choice_;
   PooledConnectionHandle connection_;
   std::shared_ptr<Attempt> attempt_;
-  int pendingPreparations_ = 0;
+  std::shared_ptr<void> preparation_;
   std::uint64_t poolTicket_ = 0;
   std::uint64_t changeTicket_ = 0;
   Core::TimerHandle timeout_;
--- a/Libraries/LibSettings/NodeSettingsTable.cpp
+++ b/Libraries/LibSettings/NodeSettingsTable.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::int64_t kMaxMilliseconds = 3'600'000;
+constexpr std::int64_t kMaxProcessors = 1024;
 
 /** A shorter lease never outlasts a call to promote a database. */
 constexpr std::int64_t kLeastDutyMilliseconds = 1600;
@@ -23,6 +24,13 @@
       0,
       "",
       "The data centre that the VM stands in." },
+    { "node.processors",
+      SettingType::Decimal,
+      "cores",
+      0,
+      kMaxProcessors,
+      "1",
+      "The processor time that the node may use; more, more work for others." },
     { "listen.clients",
       SettingType::Address,
       "",
@@ -58,6 +66,15 @@
       0,
       "",
       "Where other nodes' connections to databases are passed on." },
+    { "listen.checkouts",
+      SettingType::Address,
+      "",
+      0,
+      0,
+      "",
+      "Where other nodes use this one's connections to databases; empty: the "
+      "port after listen.peers.",
+      true },
     { "platform.store",
       SettingType::Address,
       "",
--- a/Libraries/LibSettings/ProcessSettings.cpp
+++ b/Libraries/LibSettings/ProcessSettings.cpp
@@ -175,6 +175,12 @@
   return ToInteger(Text(aName));
 }
 
+double
+ProcessSettings::Decimal(std::string_view aName) const
+{
+  return ToDecimal(Text(aName));
+}
+
 Wire::Address
 ProcessSettings::Address(std::string_view aName) const
 {
--- a/Libraries/LibSettings/SettingsTable.cpp
+++ b/Libraries/LibSettings/SettingsTable.cpp
@@ -42,6 +42,20 @@
          std::to_string(aSpec.most) + ", not \"" + std::string(aValue) + '"';
 }
 
+std::optional<std::string>
+CheckDecimal(const SettingSpec& aSpec, std::string_view aValue)
+{
+  double number = 0;
+  const char* end = aValue.data() + aValue.size();
+  const auto [stop, error] = std::from_chars(aValue.data(), end, number);
+  if (error == std::errc{} && stop == end &&
+      number >= static_cast<double>(aSpec.least) &&
+      number <= static_cast<double>(aSpec.most))
+    return std::nullopt;
+  return "must be a number from " + std::to_string(aSpec.least) + " to " +
+         std::to_string(aSpec.most) + ", not \"" + std::string(aValue) + '"';
+}
+
 std::optional<std::string>
 CheckChoice(const SettingSpec& aSpec, std::string_view aValue)
 {
@@ -117,6 +131,8 @@
       return std::nullopt;
     case SettingType::Integer:
       return CheckInteger(aSpec, aValue);
+    case SettingType::Decimal:
+      return CheckDecimal(aSpec, aValue);
     case SettingType::Boolean:
       if (aValue == "true" || aValue == "false")
         return std::nullopt;
@@ -138,7 +154,8 @@
     "| setting | type | unit | range | default | what it is |\n"
     "| --- | --- | --- | --- | --- | --- |\n";
   for (const SettingSpec& spec : aTable) {
-    const bool isNumber = spec.type == SettingType::Integer;
+    const bool isNumber =
+      spec.type == SettingType::Integer || spec.type == SettingType::Decimal;
     const std::string range =
       isNumber ? std::to_string(spec.least) + " to " + std::to_string(spec.most)
                : "";
@@ -160,6 +177,14 @@
   return number;
 }
 
+double
+ToDecimal(std::string_view aValue)
+{
+  double number = 0;
+  std::from_chars(aValue.data(), aValue.data() + aValue.size(), number);
+  return number;
+}
+
 bool
 ToBoolean(std::string_view aValue)
 {
--- a/Libraries/LibSettings/include/LibSettings/ProcessSettings.h
+++ b/Libraries/LibSettings/include/LibSettings/ProcessSettings.h
@@ -36,6 +36,7 @@
   /** These read a setting by its table name, which must exist. */
   std::string Text(std::string_view aName) const;
   std::int64_t Integer(std::string_view aName) const;
+  double Decimal(std::string_view aName) const;
   Wire::Address Address(std::string_view aName) const;
   std::vector<Wire::Address> Addresses(std::string_view aName) const;
 
--- a/Libraries/LibSettings/include/LibSettings/SettingsTable.h
+++ b/Libraries/LibSettings/include/LibSettings/SettingsTable.h
@@ -18,6 +18,8 @@
 {
   Text,
   Integer,
+  /** Such as 0.25. */
+  Decimal,
   Boolean,
   Address,
   AddressList,
@@ -25,9 +27,10 @@
   Choice,
 };
 
-inline constexpr Core::EnumNames<SettingType, 6> kSettingTypeNames{ {
+inline constexpr Core::EnumNames<SettingType, 7> kSettingTypeNames{ {
   { { SettingType::Text, "text" },
     { SettingType::Integer, "integer" },
+    { SettingType::Decimal, "decimal" },
     { SettingType::Boolean, "boolean" },
     { SettingType::Address, "ip:port" },
     { SettingType::AddressList, "ip:port, ip:port, ..." },
@@ -72,6 +75,8 @@
 /** Reads a value that CheckValue has passed. */
 std::int64_t
 ToInteger(std::string_view aValue);
+double
+ToDecimal(std::string_view aValue);
 bool
 ToBoolean(std::string_view aValue);
 
--- a/Libraries/LibSql/include/LibSql/DatabaseLink.h
+++ b/Libraries/LibSql/include/LibSql/DatabaseLink.h
@@ -32,6 +32,19 @@
   StepDown,
 };
 
+inline constexpr Core::EnumNames<CommandKind, 10> kCommandKindNames{ {
+  { { CommandKind::ClientStatement, "client_statement" },
+    { CommandKind::ClientExecute, "client_execute" },
+    { CommandKind::Begin, "begin" },
+    { CommandKind::BeginReadOnly, "begin_read_only" },
+    { CommandKind::Rollback, "rollback" },
+    { CommandKind::Set, "set" },
+    { CommandKind::Prepare, "prepare" },
+    { CommandKind::DiscardAll, "discard_all" },
+    { CommandKind::Status, "status" },
+    { CommandKind::StepDown, "step_down" } },
+} };
+
 struct DatabaseCommand
 {
   CommandKind kind = CommandKind::Status;
--- a/Libraries/LibSql/include/LibSql/Statement.h
+++ b/Libraries/LibSql/include/LibSql/Statement.h
@@ -72,6 +72,12 @@
   Failed,
 };
 
+inline constexpr Core::EnumNames<TransactionState, 3> kTransactionStateNames{ {
+  { { TransactionState::Idle, "idle" },
+    { TransactionState::Open, "open" },
+    { TransactionState::Failed, "failed" } },
+} };
+
 /** Why a statement failed. */
 enum class ErrorCode
 {
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -45,6 +45,18 @@
   return timing;
 }
 
+Wire::Address
+CheckoutAddress(const Settings::ProcessSettings& aSettings)
+{
+  if (!aSettings.Text("listen.checkouts").empty())
+    return aSettings.Address("listen.checkouts");
+  Wire::Address address = aSettings.Address("listen.peers");
+  // Port 0 stands for any free port.
+  if (address.port != 0)
+    ++address.port;
+  return address;
+}
+
 Pooler::NodeSettings
 ToNodeSettings(const Settings::ProcessSettings& aSettings)
 {
@@ -55,6 +67,8 @@
   result.self.incarnation = Core::Random::FromSystem().Hex(kIncarnationDigits);
   result.self.address = aSettings.Address("listen.peers");
   result.self.relay = aSettings.Address("listen.relay");
+  result.self.checkouts = CheckoutAddress(aSettings);
+  result.self.processors = aSettings.Decimal("node.processors");
   result.authorityLease.fenced =
     milliseconds(aSettings.Integer("authority.lease_ms"));
   result.authorityLease.plainReads =
@@ -80,11 +94,13 @@
   , store_(aLoop, aSettings.Address("platform.store"), metrics_)
   , promoter_(aLoop, aSettings.Address("platform.promotions"))
   , peerClient_(aLoop)
-  , node_(aLoop,
-          ToNodeSettings(aSettings),
-          { dialer_, store_, promoter_, peerClient_, relayBook_ },
-          metrics_,
-          Core::LogChange)
+  , checkoutClient_(aLoop)
+  , node_(
+      aLoop,
+      ToNodeSettings(aSettings),
+      { dialer_, store_, promoter_, peerClient_, relayBook_, checkoutClient_ },
+      metrics_,
+      Core::LogChange)
   , feeds_(aLoop, store_, node_)
   , door_(aLoop, node_)
   , peerServer_(aLoop, node_)
@@ -92,6 +108,7 @@
                  [this](const std::string& aDatabase) {
                    return node_.AddressOf(aDatabase);
                  })
+  , checkoutServer_(aLoop, node_)
   , readiness_(aLoop)
   , metricsServer_(aLoop)
 {
@@ -138,6 +155,7 @@
 {
   if (!peerServer_.Listen(settings_.Address("listen.peers"), aReason) ||
       !relayServer_.Listen(settings_.Address("listen.relay"), aReason) ||
+      !checkoutServer_.Listen(CheckoutAddress(settings_), aReason) ||
       !door_.Listen(settings_.Address("listen.clients"), aReason) ||
       !Listen(readiness_, settings_.Address("listen.readiness"), aReason) ||
       !Listen(metricsServer_, settings_.Address("listen.metrics"), aReason))
@@ -174,7 +192,8 @@
     node_.RefuseNewWork();
     door_.EndRestingTransactions();
   }
-  if (door_.Sessions() > 0 && passed < grace - kExitMargin)
+  const bool isUsed = door_.Sessions() > 0 || checkoutServer_.InUse() > 0;
+  if (isUsed && passed < grace - kExitMargin)
     return;
   stopTimer_.reset();
   FinishStop();
--- a/Services/Node/NodeServer.h
+++ b/Services/Node/NodeServer.h
@@ -6,6 +6,8 @@
 #include "PromoteClient.h"
 #include "StoreClient.h"
 
+#include <LibPeers/CheckoutClient.h>
+#include <LibPeers/CheckoutServer.h>
 #include <LibPeers/PeerClient.h>
 #include <LibPeers/PeerServer.h>
 #include <LibPeers/RelayServer.h>
@@ -40,11 +42,13 @@
   Adapter::StoreClient store_;
   Adapter::PromoteClient promoter_;
   Peers::PeerClient peerClient_;
+  Peers::CheckoutClient checkoutClient_;
   Pooler::Node node_;
   Adapter::PlatformFeeds feeds_;
   Adapter::ClientDoor door_;
   Peers::PeerServer peerServer_;
   Peers::RelayServer relayServer_;
+  Peers::CheckoutServer checkoutServer_;
   Wire::HttpServer readiness_;
   Wire::HttpServer metricsServer_;
   Core::Instant stopBegan_{};
--- /dev/null
+++ b/Tests/LibPeers/TestCheckoutMessages.cpp
@@ -0,0 +1,160 @@
+#define BOOST_TEST_MODULE CheckoutMessages
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "../../Libraries/LibPeers/CheckoutMessages.h"
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Without the line's end. */
+std::string
+LineOf(std::string aText)
+{
+  BOOST_REQUIRE(aText.size() > 2);
+  BOOST_TEST(aText.substr(aText.size() - 2) == "\r\n");
+  aText.resize(aText.size() - 2);
+  BOOST_TEST(aText.find('\n') == std::string::npos);
+  return aText;
+}
+
+template<typename Message>
+Message
+RoundTripToOwner(const Message& aMessage)
+{
+  Core::Findings findings;
+  const auto read =
+    Peers::DecodeToOwner(LineOf(Peers::EncodeToOwner(aMessage)), findings);
+  BOOST_TEST(findings.ToText() == "");
+  BOOST_REQUIRE(read.has_value());
+  return std::get<Message>(*read);
+}
+
+template<typename Message>
+Message
+RoundTripFromOwner(const Message& aMessage)
+{
+  Core::Findings findings;
+  const auto read =
+    Peers::DecodeFromOwner(LineOf(Peers::EncodeFromOwner(aMessage)), findings);
+  BOOST_TEST(findings.ToText() == "");
+  BOOST_REQUIRE(read.has_value());
+  return std::get<Message>(*read);
+}
+
+const std::string kAnyBytes = "a\r\n\"b\\ \xff\xc3( \x01 end";
+
+const std::vector<std::string> kGarbage{
+  "",
+  "no json",
+  "[]",
+  "{}",
+  R"({"kind":"unheard_of"})",
+  R"({"kind":"request"})",
+  R"({"kind":"request","database":1,"due_us":2,"values":{}})",
+  R"({"kind":"request","database":"d","due_us":2,"values":{"a":1}})",
+  R"({"kind":"command","command":"unheard_of","request":"","text":"",)"
+  R"("name":"","argument":""})",
+  R"({"kind":"reply","complete":true,"signature":"","state":"odd","rows":[]})",
+  R"({"kind":"reply","complete":true,"signature":"","state":"idle",)"
+  R"("rows":[1]})",
+  R"({"kind":"refusal","reason":"odd"})",
+  R"({"kind":"grant","shape_name":"m1","last_name":-1})",
+  R"({"kind":"grant","shape_name":"m1","last_name":1)",
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ARequestIsReadAsItWasSent)
+{
+  Pooler::CheckoutRequest request;
+  request.database = "db-1";
+  request.dueIn = -250ms;
+  request.values = { { "zone", kAnyBytes }, { "user", "" } };
+  request.shape = kAnyBytes;
+  request.mustProve = true;
+  const auto read = RoundTripToOwner(request);
+  BOOST_TEST(read.database == request.database);
+  BOOST_CHECK(read.dueIn == request.dueIn);
+  BOOST_CHECK(read.values == request.values);
+  BOOST_CHECK(read.shape == request.shape);
+  BOOST_TEST(read.mustProve);
+}
+
+BOOST_DATA_TEST_CASE(
+  ACommandIsReadAsItWasSent,
+  boost::unit_test::data::xrange(Sql::kCommandKindNames.entries.size()),
+  aIndex)
+{
+  Sql::DatabaseCommand command;
+  command.kind = Sql::kCommandKindNames.entries.at(aIndex).first;
+  command.requestId = "r1";
+  command.text = kAnyBytes;
+  command.name = "m1";
+  command.argument = kAnyBytes;
+  command.term = command.kind == Sql::CommandKind::StepDown ? 7 : 0;
+  command.atLeast = Session::LogPosition{ 3, 9 };
+  const auto read = RoundTripToOwner(command);
+  BOOST_CHECK(read.kind == command.kind);
+  BOOST_TEST(read.requestId == command.requestId);
+  BOOST_TEST(read.text == command.text);
+  BOOST_TEST(read.name == command.name);
+  BOOST_TEST(read.argument == command.argument);
+  BOOST_TEST(read.term == command.term);
+  BOOST_CHECK(read.atLeast == command.atLeast);
+}
+
+BOOST_AUTO_TEST_CASE(AReturnIsReadAsItWasSent)
+{
+  for (const bool isClean : { false, true }) {
+    const auto read =
+      RoundTripToOwner(Pooler::CheckoutReturn{ isClean, !isClean });
+    BOOST_TEST(read.isClean == isClean);
+    BOOST_TEST(read.isChanged == !isClean);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerIsReadAsItWasSent)
+{
+  Sql::DatabaseReply reply;
+  reply.isComplete = true;
+  reply.rows = { "one", kAnyBytes, "" };
+  reply.signature = "-";
+  reply.error = Sql::Error{ Sql::ErrorCode::Lagging, kAnyBytes };
+  reply.state = Sql::TransactionState::Failed;
+  reply.position = Session::LogPosition{ 2, 5 };
+  const auto read = RoundTripFromOwner(reply);
+  BOOST_TEST(read.isComplete);
+  BOOST_CHECK(read.rows == reply.rows);
+  BOOST_TEST(read.signature == reply.signature);
+  BOOST_REQUIRE(read.error.has_value());
+  BOOST_CHECK(read.error->code == reply.error->code);
+  BOOST_TEST(read.error->text == reply.error->text);
+  BOOST_CHECK(read.state == reply.state);
+  BOOST_CHECK(read.position == reply.position);
+  BOOST_TEST(!RoundTripFromOwner(Sql::DatabaseReply{}).isComplete);
+}
+
+BOOST_AUTO_TEST_CASE(AGrantAndARefusalAreReadAsTheyWereSent)
+{
+  const auto grant =
+    RoundTripFromOwner(Pooler::CheckoutGrant{ "m4", 9, std::nullopt });
+  BOOST_TEST(grant.shapeName == "m4");
+  BOOST_TEST(grant.lastName == 9U);
+  BOOST_TEST(!grant.position.has_value());
+  for (const auto& [refusal, name] : Pooler::kCheckoutRefusalNames.entries)
+    BOOST_CHECK(RoundTripFromOwner(refusal) == refusal);
+  RoundTripFromOwner(Peers::CheckoutWaiting{});
+}
+
+BOOST_DATA_TEST_CASE(GarbageIsNamed, kGarbage, aLine)
+{
+  Core::Findings toOwner;
+  BOOST_TEST(!Peers::DecodeToOwner(aLine, toOwner).has_value());
+  BOOST_TEST(!toOwner.IsEmpty());
+  Core::Findings fromOwner;
+  BOOST_TEST(!Peers::DecodeFromOwner(aLine, fromOwner).has_value());
+  BOOST_TEST(!fromOwner.IsEmpty());
+}
--- /dev/null
+++ b/Tests/LibPooler/FakeOwners.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "../Simulation/VirtualTime.h"
+
+#include <LibPooler/CheckoutSession.h>
+#include <LibPooler/Peers.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Fakes {
+
+class FakeChannel;
+
+/** A node that owns connections, as far as others can tell. */
+class FakeOwner final : public Pooler::CheckoutHost
+{
+public:
+  std::shared_ptr<Pooler::ConnectionPool> OwnPool(
+    const std::string& aDatabase) override
+  {
+    const auto pool = pools.find(aDatabase);
+    return pool == pools.end() ? nullptr : pool->second;
+  }
+  Core::Duration CheckoutIdleLimit() const override { return idleLimit; }
+
+  std::map<std::string, std::shared_ptr<Pooler::ConnectionPool>> pools;
+  Core::Duration idleLimit = std::chrono::seconds(5);
+  /** Neither takes messages nor sends any; its connections stay open. */
+  bool isFrozen = false;
+  /** How many channels were opened to it. */
+  int opened = 0;
+};
+
+/** Owners that are reached without a network, in virtual time. */
+class FakeOwners final : public Pooler::CheckoutDialer
+{
+public:
+  explicit FakeOwners(Simulation::VirtualTime& aTime)
+    : time_(aTime)
+  {
+  }
+
+  FakeOwner& Add(const std::string& aName) { return owners_[aName]; }
+  /** A member as the roster would show it. */
+  static Pooler::Member MemberOf(const std::string& aName,
+                                 const std::string& aDataCentre = "dc");
+  /** Ends the process: its channels break and its sessions are gone. */
+  void Kill(const std::string& aName);
+
+  std::unique_ptr<Pooler::CheckoutChannel> Open(
+    const Wire::Address& aAddress,
+    Pooler::CheckoutListener& aListener) override;
+
+private:
+  friend class FakeChannel;
+  Simulation::VirtualTime& time_;
+  std::map<std::string, FakeOwner> owners_;
+  std::multimap<std::string, std::weak_ptr<FakeChannel>> channels_;
+};
+
+} // namespace Fakes
--- /dev/null
+++ b/Tests/LibPooler/TestCheckout.cpp
@@ -0,0 +1,351 @@
+#define BOOST_TEST_MODULE Checkout
+#include <boost/test/unit_test.hpp>
+
+#include "FakeDatabases.h"
+#include "FakeOwners.h"
+
+#include <LibPooler/ConnectionPool.h>
+
+using namespace std::chrono_literals;
+using Pooler::ConnectionNeed;
+using Pooler::ConnectionPool;
+using Pooler::PooledConnectionHandle;
+using Pooler::PoolRefusal;
+
+namespace {
+
+/**
+ * Two nodes, "near" and "far", own two connections each to the database "p".
+ * The pool under test belongs to a third node, which owns none.
+ */
+class Fixture
+{
+public:
+  Fixture()
+    : databases(time)
+    , owners(time)
+    , remote(time, owners, "dc")
+    , pool(time, databases, Listed(), &remote)
+  {
+    databases.Add("p", true);
+    AddOwner("near");
+    AddOwner("far");
+    remote.SetOwners("g",
+                     { Fakes::FakeOwners::MemberOf("far", "elsewhere"),
+                       Fakes::FakeOwners::MemberOf("near") });
+    pool.SetLimit(0);
+  }
+  ~Fixture()
+  {
+    held.clear();
+    time.Close();
+  }
+
+  static Pooler::Database Listed()
+  {
+    Pooler::Database database;
+    database.id = "p";
+    database.group = "g";
+    return database;
+  }
+  void AddOwner(const std::string& aName)
+  {
+    auto owned = std::make_shared<ConnectionPool>(time, databases, Listed());
+    owned->SetLimit(2);
+    owners.Add(aName).pools["p"] = owned;
+  }
+  ConnectionPool& PoolAt(const std::string& aName)
+  {
+    return *owners.Add(aName).pools.at("p");
+  }
+  void Pass(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
+
+  std::uint64_t Want(const std::string& aName,
+                     Core::Duration aDueIn = 200ms,
+                     const Pooler::Values& aValues = {},
+                     const std::optional<std::string>& aShape = std::nullopt)
+  {
+    return pool.Acquire(
+      { time.Now() + aDueIn, aValues, aShape },
+      [this, aName](PooledConnectionHandle aConnection, PoolRefusal) {
+        served.push_back(aConnection != nullptr ? aName : aName + " refused");
+        if (aConnection != nullptr)
+          held.push_back(std::move(aConnection));
+      });
+  }
+  void GiveBack(bool aIsClean = true)
+  {
+    const PooledConnectionHandle connection = held.front();
+    held.erase(held.begin());
+    pool.Release(connection, aIsClean);
+  }
+  /** Runs a client's statement on what is held first. */
+  void Run(const std::string& aRequest)
+  {
+    Sql::DatabaseCommand command;
+    command.kind = Sql::CommandKind::ClientStatement;
+    command.requestId = aRequest;
+    command.text = "FETCH 1";
+    held.front()->link->Send(command, [this](Sql::DatabaseReply aReply) {
+      replies.push_back(std::move(aReply));
+    });
+  }
+
+  Simulation::VirtualTime time;
+  Fakes::FakeDatabases databases;
+  Fakes::FakeOwners owners;
+  Pooler::RemotePools remote;
+  ConnectionPool pool;
+  std::vector<PooledConnectionHandle> held;
+  std::vector<std::string> served;
+  std::vector<Sql::DatabaseReply> replies;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Checkout, Fixture)
+
+BOOST_AUTO_TEST_CASE(UsesTheConnectionOfANearbyOwner)
+{
+  Want("a");
+  Pass(50ms);
+  BOOST_REQUIRE(served.size() == 1U);
+  BOOST_TEST(PoolAt("near").InUse() == 1);
+  BOOST_TEST(PoolAt("far").InUse() == 0);
+  Run("r1");
+  Pass(50ms);
+  BOOST_REQUIRE(replies.size() == 1U);
+  BOOST_TEST(replies.front().IsSuccess());
+  BOOST_TEST(databases.At("p").HasRun("r1 FETCH 1"));
+  GiveBack();
+  Pass(50ms);
+  BOOST_TEST(PoolAt("near").InUse() == 0);
+  BOOST_TEST(PoolAt("near").Open() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(UsesAChannelAgain)
+{
+  for (int i = 0; i < 3; ++i) {
+    Want("a");
+    Pass(50ms);
+    GiveBack();
+    Pass(50ms);
+  }
+  BOOST_TEST(owners.Add("near").opened == 1);
+  BOOST_TEST(databases.At("p").connections == 1);
+}
+
+BOOST_AUTO_TEST_CASE(TheOwnerServesByWhatIsDueFirst)
+{
+  Want("first");
+  Want("second");
+  Pass(50ms);
+  Want("late", 900ms);
+  Want("soon", 300ms);
+  Pass(50ms);
+  BOOST_TEST(served.size() == 2U);
+  GiveBack();
+  Pass(50ms);
+  BOOST_REQUIRE(served.size() == 3U);
+  BOOST_TEST(served.back() == "soon");
+}
+
+BOOST_AUTO_TEST_CASE(TheConnectionHoldsTheValuesAndTheShape)
+{
+  Want("a", 200ms, { { "zone", "x" } }, "FETCH $1");
+  Pass(50ms);
+  BOOST_REQUIRE(held.size() == 1U);
+  const Pooler::Values values{ { "zone", "x" } };
+  const std::string shape = "FETCH $1";
+  BOOST_TEST(held.front()->state.Fits(values, &shape));
+  BOOST_TEST(databases.At("p").HasRun("set zone=x"));
+  BOOST_TEST(databases.At("p").HasRun(
+    "prepare " + held.front()->state.NameOf(shape) + " FETCH $1"));
+}
+
+BOOST_AUTO_TEST_CASE(WhatWasAddedIsClearedBeforeTheNextUse)
+{
+  Want("a");
+  Pass(50ms);
+  const std::string shape = "FETCH $1";
+  const auto commands = held.front()->state.Prepare({}, &shape);
+  held.front()->link->Send(commands.front(), [](const auto&) {});
+  Pass(50ms);
+  GiveBack();
+  Want("b");
+  Pass(50ms);
+  BOOST_TEST(databases.At("p").HasRun("discard"));
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsDroppedInATransactionIsRolledBackByItsEnd)
+{
+  Want("a");
+  Pass(50ms);
+  held.front()->link->Send({ .kind = Sql::CommandKind::Begin },
+                           [](const auto&) {});
+  Pass(50ms);
+  BOOST_TEST(databases.At("p").connections == 1);
+  GiveBack(false);
+  Pass(50ms);
+  BOOST_TEST(databases.At("p").connections == 0);
+  BOOST_TEST(PoolAt("near").InUse() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ACancelledWaitTakesNothing)
+{
+  const auto ticket = Want("a");
+  pool.Cancel(ticket);
+  Pass(100ms);
+  BOOST_TEST(served.empty());
+  BOOST_TEST(PoolAt("near").InUse() == 0);
+  BOOST_TEST(pool.Waiting() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AWaitAtABusyOwnerIsNoSilence)
+{
+  Want("first");
+  Want("second");
+  Pass(50ms);
+  Want("third");
+  Pass(2s);
+  BOOST_TEST(served.size() == 2U);
+  BOOST_TEST(PoolAt("far").InUse() == 0);
+  GiveBack();
+  Pass(50ms);
+  BOOST_TEST(served.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentOwnerIsLeftForAnother)
+{
+  owners.Add("near").isFrozen = true;
+  Want("a");
+  Pass(600ms);
+  BOOST_REQUIRE(served.size() == 1U);
+  BOOST_TEST(served.front() == "a");
+  BOOST_TEST(PoolAt("far").InUse() == 1);
+  // The next one doesn't wait for the silent one at all.
+  Want("b");
+  Pass(50ms);
+  BOOST_TEST(served.size() == 2U);
+  BOOST_TEST(PoolAt("far").InUse() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerWithoutTheDatabaseIsLeftForAnother)
+{
+  owners.Add("near").pools.clear();
+  Want("a");
+  Pass(100ms);
+  BOOST_REQUIRE(served.size() == 1U);
+  BOOST_TEST(PoolAt("far").InUse() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAnyOwnerTheWaitEndsSoon)
+{
+  owners.Kill("near");
+  owners.Kill("far");
+  Want("a");
+  Pass(100ms);
+  BOOST_REQUIRE(served.size() == 1U);
+  BOOST_TEST(served.front() == "a refused");
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerThatEndsTakesItsCheckoutsAlong)
+{
+  databases.At("p").work = 500ms;
+  Want("a");
+  Pass(50ms);
+  Run("r1");
+  Pass(50ms);
+  owners.Kill("near");
+  Pass(50ms);
+  BOOST_REQUIRE(replies.size() == 1U);
+  BOOST_TEST(!replies.front().isComplete);
+  BOOST_TEST(held.front()->isLost);
+  GiveBack(false);
+  Want("b");
+  Pass(50ms);
+  BOOST_TEST(served.back() == "b");
+}
+
+BOOST_AUTO_TEST_CASE(AConnectionThatNobodyUsesIsTakenBack)
+{
+  owners.Add("near").idleLimit = 1s;
+  Want("a");
+  Pass(50ms);
+  BOOST_TEST(PoolAt("near").InUse() == 1);
+  Pass(1s);
+  BOOST_TEST(PoolAt("near").InUse() == 0);
+  BOOST_TEST(held.front()->isLost);
+}
+
+BOOST_AUTO_TEST_CASE(WhoeverBecomesAnOwnerClosesWhatIsTooMuchWhenItEnds)
+{
+  pool.SetLimit(2);
+  Want("a");
+  Want("b");
+  Pass(50ms);
+  BOOST_TEST(databases.At("p").connections == 2);
+  GiveBack();
+  pool.SetLimit(0);
+  BOOST_TEST(databases.At("p").connections == 1);
+  GiveBack();
+  BOOST_TEST(databases.At("p").connections == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ThoseWhoWaitGoToTheOwnersWhenTheShareIsGone)
+{
+  pool.SetLimit(1);
+  Want("a");
+  Want("b");
+  Pass(50ms);
+  BOOST_TEST(served.size() == 1U);
+  pool.SetLimit(0);
+  Pass(50ms);
+  BOOST_TEST(served.size() == 2U);
+  BOOST_TEST(PoolAt("near").InUse() == 1);
+}
+
+/**
+ * Sixty nodes with ten connections between them, each with a statement every
+ * 600 ms: one connection for a node is out of the question, and ten owners
+ * that each kept theirs would leave fifty nodes without.
+ */
+BOOST_AUTO_TEST_CASE(ManyNodesShareFewConnections)
+{
+  constexpr int kNodes = 60;
+  constexpr int kRounds = 10;
+  databases.At("p").maxConnections = 4;
+  std::vector<std::unique_ptr<Pooler::RemotePools>> remotes;
+  std::vector<std::unique_ptr<ConnectionPool>> pools;
+  for (int i = 0; i < kNodes; ++i) {
+    remotes.push_back(
+      std::make_unique<Pooler::RemotePools>(time, owners, "dc"));
+    remotes.back()->SetOwners("g",
+                              { Fakes::FakeOwners::MemberOf("near"),
+                                Fakes::FakeOwners::MemberOf("far") });
+    pools.push_back(std::make_unique<ConnectionPool>(
+      time, databases, Listed(), remotes.back().get()));
+    pools.back()->SetLimit(0);
+  }
+  int inTime = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    for (int i = 0; i < kNodes; ++i) {
+      ConnectionPool& own = *pools[static_cast<std::size_t>(i)];
+      const Core::Instant due = time.Now() + 200ms;
+      own.Acquire({ due }, [&, due](PooledConnectionHandle aConnection, auto) {
+        if (aConnection == nullptr)
+          return;
+        time.DeferFor(10ms, [&own, &inTime, due, aConnection, this] {
+          inTime += time.Now() <= due ? 1 : 0;
+          own.Release(aConnection, true);
+        });
+      });
+      Pass(10ms);
+    }
+  }
+  Pass(1s);
+  BOOST_TEST(inTime == kNodes * kRounds);
+  BOOST_TEST(databases.At("p").connections <= 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibPooler/TestConnectionPool.cpp
+++ b/Tests/LibPooler/TestConnectionPool.cpp
@@ -42,8 +42,7 @@
   std::uint64_t Want(const std::string& aName, Core::Duration aDueIn)
   {
     return pool.Acquire(
-      time.Now() + aDueIn,
-      {},
+      { time.Now() + aDueIn },
       [this, aName](PooledConnectionHandle aConnection, PoolRefusal aRefusal) {
         served.push_back(aConnection != nullptr ? aName : aName + " refused");
         refusals.push_back(aRefusal);
@@ -185,8 +184,7 @@
   for (int i = 0; i < kArrivals; ++i) {
     const Core::Instant due = time.Now() + kTarget;
     pool.Acquire(
-      due,
-      {},
+      { due },
       [&, due](const PooledConnectionHandle& aConnection, PoolRefusal) {
         time.DeferFor(kWork, [&, due, aConnection] {
           pool.RecordLatency(kWork);
--- a/Tests/LibPooler/TestMembership.cpp
+++ b/Tests/LibPooler/TestMembership.cpp
@@ -27,6 +27,7 @@
   member.dataCentre = "dc";
   member.address = { "127.0.0.1", 1 };
   member.relay = { "127.0.0.1", 2 };
+  member.checkouts = { "127.0.0.1", 3 };
   return member;
 }
 
--- a/Tests/LibPooler/TestNode.cpp
+++ b/Tests/LibPooler/TestNode.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "FakeDatabases.h"
+#include "FakeOwners.h"
 
 #include <LibPooler/Node.h>
 
@@ -26,9 +27,10 @@
   Fixture()
     : databases(time)
     , relays(time)
+    , owners(time)
     , node(time,
            Settings(),
-           { databases, *this, *this, *this, relays },
+           { databases, *this, *this, *this, relays, owners },
            metrics,
            [](std::string_view, const boost::json::object&) {})
   {
@@ -46,6 +48,7 @@
     settings.self.incarnation = "1";
     settings.self.address = { "127.0.0.1", 1 };
     settings.self.relay = { "127.0.0.1", 2 };
+    settings.self.checkouts = { "127.0.0.1", 3 };
     settings.authorityLease = kLease;
     settings.duty.lease = { 1600ms, 200ms, 500ms };
     settings.duty.supervisor.authorityLease = kLease;
@@ -140,6 +143,7 @@
   Simulation::VirtualTime time;
   Fakes::FakeDatabases databases;
   Pooler::RelayBook relays;
+  Fakes::FakeOwners owners;
   Metrics::Registry metrics;
   Pooler::Node node;
 };
--- /dev/null
+++ b/Tests/LibPooler/TestPoolOwners.cpp
@@ -0,0 +1,144 @@
+#define BOOST_TEST_MODULE PoolOwners
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <LibPooler/PoolOwners.h>
+
+#include <algorithm>
+#include <map>
+#include <ostream>
+#include <set>
+
+using Pooler::Member;
+using Pooler::OwnersOf;
+
+namespace {
+
+std::vector<Member>
+Fleet(int aMembers, int aDataCentres)
+{
+  std::vector<Member> members;
+  for (int i = 0; i < aMembers; ++i) {
+    Member member;
+    member.name = "vm-" + std::to_string(i);
+    member.incarnation = "1";
+    member.dataCentre = "dc-" + std::to_string(i % aDataCentres);
+    members.push_back(member);
+  }
+  return members;
+}
+
+std::set<std::string>
+NamesOf(const std::vector<Member>& aMembers)
+{
+  std::set<std::string> names;
+  for (const Member& member : aMembers)
+    names.insert(member.name);
+  return names;
+}
+
+struct CountCase
+{
+  int members;
+  int dataCentres;
+  int usable;
+  std::size_t owners;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const CountCase& aCase)
+{
+  return aStream << aCase.members << " members, " << aCase.usable
+                 << " connections";
+}
+
+const std::vector<CountCase> kCounts{
+  { 9, 4, 23, 0 },      // enough for all
+  { 18, 4, 36, 0 },     // two each
+  { 78, 4, 37, 6 },     // half a connection each
+  { 69, 4, 105, 17 },   // one and a half each
+  { 78, 4, 5, 4 },      // one owner in each data centre at least
+  { 78, 1, 5, 2 },      // two at least
+  { 1, 1, 1, 1 },       // nobody else
+  { 0, 1, 10, 0 },      // no members known
+  { 7000, 20, 300, 50 } // the size in two years
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(TheirNumberFollowsTheConnections, kCounts, aCase)
+{
+  const auto owners =
+    OwnersOf("g", Fleet(aCase.members, aCase.dataCentres), aCase.usable);
+  BOOST_TEST(owners.size() == aCase.owners);
+  BOOST_TEST(NamesOf(owners).size() == owners.size());
+}
+
+BOOST_AUTO_TEST_CASE(TheyAreSpreadOverTheDataCentres)
+{
+  std::map<std::string, int> perPlace;
+  for (const Member& owner : OwnersOf("g", Fleet(78, 4), 48))
+    ++perPlace[owner.dataCentre];
+  BOOST_TEST(perPlace.size() == 4U);
+  for (const auto& [place, count] : perPlace)
+    BOOST_TEST(count == 2);
+}
+
+BOOST_AUTO_TEST_CASE(TheOrderOfTheMembersDoesNotMatter)
+{
+  auto members = Fleet(78, 4);
+  const auto owners = NamesOf(OwnersOf("g", members, 37));
+  std::reverse(members.begin(), members.end());
+  BOOST_TEST((NamesOf(OwnersOf("g", members, 37)) == owners));
+}
+
+BOOST_AUTO_TEST_CASE(ALostMemberChangesAtMostItsOwnPlace)
+{
+  const auto members = Fleet(78, 4);
+  const auto before = NamesOf(OwnersOf("g", members, 24));
+  for (std::size_t lost = 0; lost < members.size(); ++lost) {
+    auto rest = members;
+    rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(lost));
+    const auto after = NamesOf(OwnersOf("g", rest, 24));
+    std::set<std::string> kept;
+    std::set_intersection(before.begin(),
+                          before.end(),
+                          after.begin(),
+                          after.end(),
+                          std::inserter(kept, kept.end()));
+    const std::size_t changed = before.contains(members[lost].name) ? 1 : 0;
+    BOOST_TEST(kept.size() == before.size() - changed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARestartedVmOwnsTheSamePools)
+{
+  auto members = Fleet(78, 4);
+  const auto before = NamesOf(OwnersOf("g", members, 37));
+  for (Member& member : members)
+    member.incarnation = "2";
+  BOOST_TEST((NamesOf(OwnersOf("g", members, 37)) == before));
+}
+
+BOOST_AUTO_TEST_CASE(MembersWithMoreProcessorTimeAreChosenMoreOften)
+{
+  constexpr int kGroups = 400;
+  auto members = Fleet(40, 1);
+  for (Member& member : members)
+    member.processors = 0.1;
+  for (int i = 0; i < 4; ++i)
+    members[static_cast<std::size_t>(i)].processors = 0.9;
+  int strong = 0;
+  int all = 0;
+  for (int group = 0; group < kGroups; ++group) {
+    for (const Member& owner :
+         OwnersOf("g" + std::to_string(group), members, 12)) {
+      ++all;
+      strong += owner.processors > 0.5 ? 1 : 0;
+    }
+  }
+  // Four of forty members have half of all processor time.
+  BOOST_TEST(strong > all * 4 / 10);
+  BOOST_TEST(strong < all * 6 / 10);
+}
