LibAuthority: Ask the store seldom while other nodes would tell of a change

Cause: every node asked the store for changes of three tables every 2, 2.5 and 4 s, so as to notice a connection that had gone silent.

A new holder, and one that begins a change, ask at once instead of waiting for the question under way.

--- a/Libraries/LibPeers/PeerClient.cpp
+++ b/Libraries/LibPeers/PeerClient.cpp
@@ -1,5 +1,7 @@
 #include <LibPeers/PeerClient.h>
 
+#include "SeenRowsJson.h"
+
 #include <LibCore/Log.h>
 #include <LibWire/FieldReader.h>
 
@@ -25,6 +27,7 @@
     json["echo_us"] = aHeartbeat.echo->time_since_epoch().count();
   if (aHeartbeat.newestRecord)
     json["newest_record"] = *aHeartbeat.newestRecord;
+  json["seen"] = ToJson(aHeartbeat.seen);
   return json;
 }
 
@@ -115,6 +118,7 @@
          if (const auto clock =
                reader.OptionalInteger("clock_us", 0, kAnyNumber))
            answer.clock = Core::Instant(Core::Duration(*clock));
+         answer.seen = ReadSeenRows(reader);
          if (const auto* groups = reader.OptionalArray("reached")) {
            for (const auto& group : *groups) {
              if (group.is_string())
--- a/Libraries/LibPeers/PeerServer.cpp
+++ b/Libraries/LibPeers/PeerServer.cpp
@@ -1,5 +1,7 @@
 #include <LibPeers/PeerServer.h>
 
+#include "SeenRowsJson.h"
+
 #include <LibCore/Log.h>
 
 #include <limits>
@@ -23,6 +25,7 @@
   if (const auto newest =
         aReader.OptionalInteger("newest_record", 0, kAnyNumber))
     heartbeat.newestRecord = static_cast<std::uint64_t>(*newest);
+  heartbeat.seen = ReadSeenRows(aReader);
   return heartbeat;
 }
 
@@ -74,6 +77,7 @@
         [this](Wire::FieldReader& aReader, boost::json::object& aAnswer) {
           const Pooler::HeartbeatAnswer answer =
             handler_.OnHeartbeat(ReadHeartbeat(aReader));
+          aAnswer["seen"] = ToJson(answer.seen);
           if (answer.clock)
             aAnswer["clock_us"] = answer.clock->time_since_epoch().count();
           boost::json::array reached;
--- /dev/null
+++ b/Libraries/LibPeers/SeenRowsJson.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibPooler/Peers.h>
+#include <LibWire/FieldReader.h>
+
+#include <limits>
+
+namespace Peers {
+
+/** The newest rows that a process has seen, in heartbeats and their answers. */
+inline boost::json::object
+ToJson(const Pooler::SeenRows& aSeen)
+{
+  return { { "configuration", aSeen.configuration },
+           { "databases", aSeen.databases },
+           { "own", aSeen.own } };
+}
+
+/** Reads the field "seen"; zeros, which say nothing, if it isn't there. */
+inline Pooler::SeenRows
+ReadSeenRows(Wire::FieldReader& aReader)
+{
+  Pooler::SeenRows seen;
+  const boost::json::object* fields = aReader.OptionalObject("seen");
+  if (fields == nullptr)
+    return seen;
+  Wire::FieldReader reader(
+    *fields, aReader.FindingsOf(), aReader.Place() + "/seen");
+  const auto read = [&reader](std::string_view aKey) {
+    const auto version =
+      reader.OptionalInteger(aKey, 0, std::numeric_limits<std::int64_t>::max());
+    return static_cast<std::uint64_t>(version.value_or(0));
+  };
+  seen.configuration = read("configuration");
+  seen.databases = read("databases");
+  seen.own = read("own");
+  return seen;
+}
+
+} // namespace Peers
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -137,8 +137,8 @@
   const Core::Instant now = scheduler_.Now();
   if (holds && now >= nextTending_) {
     nextTending_ = now + kHeartbeatInterval;
-    membership_.TendOthers(KnowsAllChanges() ? std::optional(newestRecord_)
-                                             : std::nullopt);
+    membership_.TendOthers(
+      KnowsAllChanges() ? std::optional(newestRecord_) : std::nullopt, seen_);
   }
   for (auto& [name, supervisor] : supervisors_)
     supervisor->Tick();
@@ -225,6 +225,17 @@
   return Holds() && appliedVersion_ >= lease_.Token();
 }
 
+bool
+FailoverDuty::AwaitsRows() const
+{
+  if (!KnowsAllChanges())
+    return Holds();
+  return std::any_of(
+    revocations_.begin(), revocations_.end(), [this](const auto& aEntry) {
+      return appliedVersion_ < aEntry.second.recordVersion;
+    });
+}
+
 bool
 FailoverDuty::HoldsDuty(Core::Duration aMargin) const
 {
--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -126,18 +126,44 @@
 }
 
 void
-Membership::TendOthers(std::optional<std::uint64_t> aNewestRecord)
+Membership::TendOthers(std::optional<std::uint64_t> aNewestRecord,
+                       const SeenRows& aSeen)
 {
   std::erase_if(contacts_, [this](const auto& aEntry) {
     return roster_.Find(aEntry.first) == nullptr;
   });
   for (const Member& member : Others())
-    Tend(member, aNewestRecord);
+    Tend(member, aNewestRecord, aSeen);
+}
+
+bool
+Membership::HearsMembers() const
+{
+  const Core::Instant now = scheduler_.Now();
+  return std::any_of(
+    contacts_.begin(), contacts_.end(), [now](const auto& aEntry) {
+      const Contact& contact = aEntry.second;
+      return contact.clock && now - contact.answeredAt < kHolderSilence;
+    });
+}
+
+SeenRows
+Membership::SeenByOthers() const
+{
+  SeenRows newest;
+  for (const auto& [key, contact] : contacts_) {
+    newest.configuration =
+      std::max(newest.configuration, contact.seen.configuration);
+    newest.databases = std::max(newest.databases, contact.seen.databases);
+    newest.own = std::max(newest.own, contact.seen.own);
+  }
+  return newest;
 }
 
 void
 Membership::Tend(const Member& aMember,
-                 std::optional<std::uint64_t> aNewestRecord)
+                 std::optional<std::uint64_t> aNewestRecord,
+                 const SeenRows& aSeen)
 {
   const Core::Instant now = scheduler_.Now();
   const std::string key = aMember.Key();
@@ -165,7 +191,7 @@
   contact.isAsked = true;
   peers_.SendHeartbeat(
     aMember,
-    { self_.Key(), key, contact.clock, aNewestRecord, false },
+    { self_.Key(), key, contact.clock, aNewestRecord, false, aSeen },
     [this, alive = alive_, key](const HeartbeatAnswer& aAnswer) {
       if (*alive)
         OnAnswer(key, aAnswer);
@@ -189,6 +215,7 @@
   contact->second.answeredAt = scheduler_.Now();
   contact->second.clock = aAnswer.clock;
   contact->second.reachedGroups = aAnswer.reachedGroups;
+  contact->second.seen = aAnswer.seen;
 }
 
 void
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -33,6 +33,9 @@
 /** A node that the store hasn't answered for this long asks a peer. */
 constexpr Core::Duration kStoreSilence = std::chrono::milliseconds(3500);
 
+/** The holder's heartbeats come several times within this. */
+constexpr Core::Duration kHolderSilence = std::chrono::milliseconds(1000);
+
 /**
  * A transaction that rests is ended by the node that it belongs to; whoever
  * lets that node use the connection waits this much longer. Without a limit for
@@ -257,7 +260,7 @@
 }
 
 void
-Node::ApplyOwnRows(const OwnRows& aRows)
+Node::ApplyOwnRows(const Authority::FollowedRows& aRows)
 {
   if (aRows.isWhole)
     membership_.BeginReload();
@@ -346,6 +349,7 @@
 void
 Node::Tick()
 {
+  ShareSeenRows();
   duty_.Tick();
   if (duty_.KnowsAllChanges() && membership_.CoversQuestion(scheduler_.Now())) {
     for (auto& [name, router] : routers_)
@@ -356,10 +360,31 @@
     if (newest)
       duty_.NotePrimaryAlive(name, *newest);
   }
-  if (scheduler_.Now() - kStoreSilence > storeAskedAt_ && hasRows_)
+  const bool isStoreSilent =
+    scheduler_.Now() - kStoreSilence > storeAskedAt_ && hasRows_;
+  if (isStoreSilent && !HearsOfChanges())
     AskPeer();
 }
 
+void
+Node::ShareSeenRows()
+{
+  if (feeds_ == nullptr || !duty_.Holds())
+    return;
+  duty_.SetSeen(feeds_->Seen());
+  feeds_->OnSeenElsewhere(membership_.SeenByOthers());
+  if (duty_.AwaitsRows())
+    feeds_->RefreshOwn();
+}
+
+bool
+Node::HearsOfChanges() const
+{
+  if (duty_.Holds())
+    return duty_.KnowsAllChanges() && membership_.HearsMembers();
+  return scheduler_.Now() - kHolderSilence < heardHolderAt_;
+}
+
 void
 Node::AskPeer()
 {
@@ -398,6 +423,7 @@
   if (!isMeant || !aHeartbeat.echo || !aHeartbeat.newestRecord ||
       !membership_.CoversQuestion(*aHeartbeat.echo))
     return;
+  heardHolderAt_ = scheduler_.Now();
   std::uint64_t newest = 0;
   for (const auto& [name, router] : routers_) {
     if (const auto& record = router->Authority().Record())
@@ -416,6 +442,10 @@
   membership_.OnHeartbeat(aHeartbeat);
   RenewByHeartbeat(aHeartbeat);
   HeartbeatAnswer answer;
+  if (feeds_ != nullptr) {
+    feeds_->OnSeenElsewhere(aHeartbeat.seen);
+    answer.seen = feeds_->Seen();
+  }
   const Core::Instant now = scheduler_.Now();
   answer.delivery = PeerDelivery::Answered;
   answer.clock = now;
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -64,6 +64,8 @@
 
   /** Renews or takes the duty, and acts on it. */
   void Tick();
+  /** What the others are told of the store's rows that were seen here. */
+  void SetSeen(const SeenRows& aSeen) { seen_ = aSeen; }
   /** Gives the duty up for good, once no change is under way. */
   void Release();
   bool Holds() const { return HoldsDuty(Core::Duration::zero()); }
@@ -73,6 +75,8 @@
    * former holders of the duty have begun.
    */
   bool KnowsAllChanges() const;
+  /** True while the holder can't go on before it has seen newer rows. */
+  bool AwaitsRows() const;
 
 private:
   /** The members who are told of a record that begins a change. */
@@ -122,6 +126,7 @@
   RecordSink onRecord_;
   LogSink log_;
   ControlLinks control_;
+  SeenRows seen_;
   Authority::DutyLease lease_;
   DatabaseList databases_;
   /** Where databases answer, and where primaries did that are not listed. */
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -46,9 +46,15 @@
 
   /**
    * What the holder of the duty does from time to time. aNewestRecord is the
-   * newest version among the groups' records, if it is known for certain.
+   * newest version among the groups' records, if it is known for certain;
+   * aSeen is what the others are told of the store's rows.
    */
-  void TendOthers(std::optional<std::uint64_t> aNewestRecord);
+  void TendOthers(std::optional<std::uint64_t> aNewestRecord,
+                  const SeenRows& aSeen = {});
+  /** True while any other member answers this one's heartbeats. */
+  bool HearsMembers() const;
+  /** The newest rows that any other member has seen, by its last answer. */
+  SeenRows SeenByOthers() const;
   /** Forgets how long others have been silent; for a new tenure. */
   void ForgetContacts() { contacts_.clear(); }
   void OnHeartbeat(const Heartbeat& aHeartbeat);
@@ -84,10 +90,13 @@
     bool isAsked = false;
     std::optional<Core::Instant> clock{};
     std::set<std::string> reachedGroups{};
+    SeenRows seen{};
   };
 
   void WriteSelf();
-  void Tend(const Member& aMember, std::optional<std::uint64_t> aNewestRecord);
+  void Tend(const Member& aMember,
+            std::optional<std::uint64_t> aNewestRecord,
+            const SeenRows& aSeen);
   void OnAnswer(const std::string& aKey, const HeartbeatAnswer& aAnswer);
   void Expel(Member aMember, std::string_view aReason);
   void Remove(const Member& aMember);
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAuthority/RowFollower.h>
 #include <LibMetrics/Metrics.h>
 #include <LibPooler/CheckoutSession.h>
 #include <LibPooler/ClientSession.h>
@@ -27,6 +28,18 @@
   double connectionShare = 0;
 };
 
+/** The node's questions to the store, as far as the node steers them. */
+class RowFeeds
+{
+public:
+  virtual ~RowFeeds() = default;
+  virtual SeenRows Seen() const = 0;
+  /** Another node has seen these; what is missing here is asked for. */
+  virtual void OnSeenElsewhere(const SeenRows& aSeen) = 0;
+  /** Asks at once what has changed among the system's own rows. */
+  virtual void RefreshOwn() = 0;
+};
+
 /** What a node reaches the outside by. */
 struct NodeLinks
 {
@@ -64,19 +77,13 @@
   /** The whole list of databases, as it is now. */
   void ApplyDatabases(DatabaseList aDatabases);
 
-  /** Rows of the system's own, as an answer of the store held them. */
-  struct OwnRows
-  {
-    /** All rows there are; else those that changed. */
-    bool isWhole = false;
-    /** A removed row has an empty value. */
-    std::vector<Authority::StoredRow> rows;
-    /** Changes up to this version are in them, or were before. */
-    std::uint64_t version = 0;
-    /** When the store was asked. */
-    Core::Instant askedAt;
-  };
-  void ApplyOwnRows(const OwnRows& aRows);
+  /** Rows of the system's own. */
+  void ApplyOwnRows(const Authority::FollowedRows& aRows);
+
+  /** Null: there are none any more. */
+  void SetFeeds(RowFeeds* aFeeds) { feeds_ = aFeeds; }
+  /** True while other nodes would tell of a change in the store. */
+  bool HearsOfChanges() const;
 
   /** True when clients are better off here than elsewhere. */
   bool IsReady() const;
@@ -125,6 +132,7 @@
                   std::size_t aGroupIndex);
   void ShareRelays();
   void Tick();
+  void ShareSeenRows();
   void KeepSamplesFresh();
   void SampleGroup(GroupRouter& aRouter);
   void RenewByHeartbeat(const Heartbeat& aHeartbeat);
@@ -143,6 +151,9 @@
   RemotePools remotePools_;
   Configuration configuration_;
   DatabaseList databases_;
+  RowFeeds* feeds_ = nullptr;
+  /** When the duty's holder last answered for the state of the store. */
+  Core::Instant heardHolderAt_ = Core::Instant::min();
   bool hasConfiguration_ = false;
   bool hasDatabases_ = false;
   bool hasRows_ = false;
--- a/Libraries/LibPooler/include/LibPooler/Peers.h
+++ b/Libraries/LibPooler/include/LibPooler/Peers.h
@@ -53,6 +53,14 @@
     { PeerDelivery::Silent, "silent" } },
 } };
 
+/** The newest versions among the store's rows that a process has seen. */
+struct SeenRows
+{
+  std::uint64_t configuration = 0;
+  std::uint64_t databases = 0;
+  std::uint64_t own = 0;
+};
+
 /** What a peer knows of one group's primary. */
 struct RelayedRecord
 {
@@ -82,6 +90,7 @@
   std::optional<std::uint64_t> newestRecord;
   /** The sender gives the duty up; another one should take it. */
   bool resigns = false;
+  SeenRows seen{};
 };
 
 /** What a member says in answer. */
@@ -92,6 +101,7 @@
   std::optional<Core::Instant> clock;
   /** The groups whose primary has answered it a moment ago. */
   std::set<std::string> reachedGroups;
+  SeenRows seen{};
 };
 
 /** Messages to other nodes; each handler runs once, never from inside. */
--- a/Libraries/LibWire/include/LibWire/FieldReader.h
+++ b/Libraries/LibWire/include/LibWire/FieldReader.h
@@ -37,6 +37,10 @@
   const boost::json::object* Object(std::string_view aKey);
   const boost::json::object* OptionalObject(std::string_view aKey);
 
+  /** Where findings go, and the place of the object; for readers of parts. */
+  Core::Findings& FindingsOf() { return findings_; }
+  const std::string& Place() const { return place_; }
+
   /** Reports every field that was not asked for. */
   void RejectOthers();
 
