LibPooler: Pass samples of a primary's position on with checkouts

Change: a grant brings the owner's newest sample and its age along. The sample counts from when the owner was asked, so that no clocks are compared, and is clamped to the terms that this node knows. What kept samples fresh, and what logs statements, left Node for SampleKeeper and StatementLog.

Tests: a case each in TestCheckout and TestCheckoutMessages; on loopback, four nodes on two connections (NodesWithoutConnectionsUseThoseOfOthers).

--- a/Libraries/LibAuthority/SampleBook.cpp
+++ b/Libraries/LibAuthority/SampleBook.cpp
@@ -50,6 +50,14 @@
   return first->position;
 }
 
+std::optional<SampleBook::Sample>
+SampleBook::NewestSample() const
+{
+  if (samples_.empty())
+    return std::nullopt;
+  return samples_.back();
+}
+
 std::optional<Core::Instant>
 SampleBook::Newest() const
 {
--- a/Libraries/LibAuthority/include/LibAuthority/SampleBook.h
+++ b/Libraries/LibAuthority/include/LibAuthority/SampleBook.h
@@ -20,6 +20,12 @@
 class SampleBook
 {
 public:
+  struct Sample
+  {
+    Core::Instant sentAt;
+    Session::LogPosition position;
+  };
+
   /** A statement sent at aSentAt under authority was answered at aPosition. */
   void Add(Core::Instant aSentAt, const Session::LogPosition& aPosition);
 
@@ -33,15 +39,11 @@
   std::optional<Session::LogPosition> FloorFor(Core::Instant aNow,
                                                Core::Duration aBound) const;
 
+  std::optional<Sample> NewestSample() const;
   /** When the newest sample's statement was sent. */
   std::optional<Core::Instant> Newest() const;
 
 private:
-  struct Sample
-  {
-    Core::Instant sentAt;
-    Session::LogPosition position;
-  };
   /** Oldest first. */
   std::deque<Sample> samples_;
 };
--- a/Libraries/LibPeers/CheckoutMessages.cpp
+++ b/Libraries/LibPeers/CheckoutMessages.cpp
@@ -119,6 +119,11 @@
                             { "shape_name", aGrant.shapeName },
                             { "last_name", aGrant.lastName } };
   SetPosition(json, aGrant.position);
+  if (aGrant.sample) {
+    json["sample_age_us"] = aGrant.sample->age.count();
+    json["sample_term"] = aGrant.sample->position.term;
+    json["sample_position"] = aGrant.sample->position.position;
+  }
   return json;
 }
 
@@ -210,6 +215,15 @@
   grant.lastName =
     static_cast<std::uint64_t>(aReader.Integer("last_name", 0, kAnyNumber));
   grant.position = ReadPosition(aReader);
+  const auto age = aReader.OptionalInteger("sample_age_us", 0, kAnyNumber);
+  if (!age)
+    return grant;
+  grant.sample = Pooler::RelayedSample{
+    Core::Duration(*age),
+    { static_cast<Session::Term>(aReader.Integer("sample_term", 0, kAnyNumber)),
+      static_cast<std::uint64_t>(
+        aReader.Integer("sample_position", 0, kAnyNumber)) }
+  };
   return grant;
 }
 
--- a/Libraries/LibPooler/CheckoutSession.cpp
+++ b/Libraries/LibPooler/CheckoutSession.cpp
@@ -106,6 +106,7 @@
     grant.shapeName = connection_->state.NameOf(*request_.shape);
   grant.lastName = connection_->state.LastName();
   grant.position = pool_->Position();
+  grant.sample = host_.NewestSample(request_.database);
   WatchIdleness();
   port_.SendGrant(grant);
 }
--- a/Libraries/LibPooler/ConnectionPool.cpp
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -180,6 +180,10 @@
     return;
   }
   ++inUse_;
+  // The owner answered after it was asked, so its sample is at least as old as
+  // this makes it.
+  if (const auto& sample = aOutcome.grant.sample; sample && sampleSink_)
+    sampleSink_(aOutcome.askedAt - sample->age, sample->position);
   if (aOutcome.grant.position)
     RecordPosition(*aOutcome.grant.position);
   aConnection->link = aOutcome.link;
--- a/Libraries/LibPooler/GroupRouter.cpp
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -57,6 +57,10 @@
     auto pool =
       std::make_shared<ConnectionPool>(scheduler_, dialer_, database, remote_);
     pool->SetLimit(connectionLimit_);
+    pool->SetSampleSink(
+      [this](Core::Instant aSentAt, const Session::LogPosition& aPosition) {
+        AddSample(aSentAt, aPosition);
+      });
     kept.emplace(database.id, std::move(pool));
   }
   const auto old = std::exchange(pools_, std::move(kept));
@@ -184,7 +188,11 @@
 GroupRouter::AddSample(Core::Instant aSentAt,
                        const Session::LogPosition& aPosition)
 {
-  samples_.Add(aSentAt, aPosition);
+  // Another node may have been told of a promotion later than this one.
+  const auto& record = authority_.Record();
+  samples_.Add(aSentAt,
+               record ? Authority::ClampToTerms(aPosition, record->starts)
+                      : aPosition);
 }
 
 std::uint64_t
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -15,21 +15,9 @@
 /** How often leases and groups are looked at. */
 constexpr Core::Duration kTickInterval = std::chrono::milliseconds(50);
 
-/** How often the age of the newest sample is looked at. */
-constexpr Core::Duration kSampleInterval = std::chrono::milliseconds(200);
-
-/** The primary is asked when no answer of it is younger than this. */
-constexpr Core::Duration kSampleAge = std::chrono::milliseconds(600);
-
-/** An answer to the question for a sample is given up after this. */
-constexpr Core::Duration kSampleTimeout = std::chrono::milliseconds(1000);
-
 /** A primary that has answered within this counts as reached. */
 constexpr Core::Duration kReachedAge = std::chrono::milliseconds(700);
 
-/** Statements without anything unusual get a line this often. */
-constexpr Core::Duration kRoutineLineInterval = std::chrono::milliseconds(100);
-
 /** A node that the store hasn't answered for this long asks a peer. */
 constexpr Core::Duration kStoreSilence = std::chrono::milliseconds(3500);
 
@@ -105,8 +93,9 @@
       },
       log_)
   , remotePools_(aScheduler, aLinks.checkouts, settings_.self.dataCentre)
+  , samples_(aScheduler, aLinks.dialer, routers_)
+  , statementLog_(aScheduler, aMetrics, log_)
   , tick_(aScheduler.Every(kTickInterval, [this] { Tick(); }))
-  , sampler_(aScheduler.Every(kSampleInterval, [this] { KeepSamplesFresh(); }))
 {
 }
 
@@ -213,6 +202,7 @@
   const bool isOwner = owners.empty() || rank < sharers.size();
   const int share =
     isOwner ? ShareOf(usable, sharers.size(), rank + aGroupIndex) : 0;
+  samples_.SetShared(aRouter.Name(), isOwner && !owners.empty());
   remotePools_.SetOwners(aRouter.Name(), std::move(owners));
   aRouter.SetConnectionLimit(share);
 }
@@ -231,6 +221,21 @@
   return isOwner ? pool->second : nullptr;
 }
 
+std::optional<RelayedSample>
+Node::NewestSample(const std::string& aDatabase) const
+{
+  const auto database = databases_.find(aDatabase);
+  if (database == databases_.end())
+    return std::nullopt;
+  const auto router = routers_.find(database->second.group);
+  if (router == routers_.end())
+    return std::nullopt;
+  const auto sample = router->second->Samples().NewestSample();
+  if (!sample)
+    return std::nullopt;
+  return RelayedSample{ scheduler_.Now() - sample->sentAt, sample->position };
+}
+
 Core::Duration
 Node::CheckoutIdleLimit() const
 {
@@ -482,51 +487,6 @@
   return records;
 }
 
-void
-Node::KeepSamplesFresh()
-{
-  const Core::Instant now = scheduler_.Now();
-  for (auto& [name, router] : routers_) {
-    const auto newest = router->Samples().Newest();
-    const bool isFresh = newest && now - *newest < kSampleAge;
-    if (!isFresh && !sampling_.contains(name))
-      SampleGroup(*router);
-  }
-}
-
-void
-Node::SampleGroup(GroupRouter& aRouter)
-{
-  const auto choice = aRouter.Choose({});
-  if (!choice)
-    return;
-  sampling_.insert(aRouter.Name());
-  const auto finish = [this, name = aRouter.Name()] { sampling_.erase(name); };
-  choice->pool->Acquire(
-    { scheduler_.Now() },
-    [this, &aRouter, finish, choice = *choice](
-      const PooledConnectionHandle& aConnection, PoolRefusal) {
-      if (aConnection == nullptr) {
-        finish();
-        return;
-      }
-      const Core::Instant sentAt = scheduler_.Now();
-      const bool holds = aRouter.Authority().HoldsFor(
-        choice.pool->Info().id, choice.term, sentAt);
-      choice.pool->RunAndRelease(
-        aConnection,
-        { .kind = Sql::CommandKind::Status },
-        kSampleTimeout,
-        [this, &aRouter, finish, sentAt, holds](
-          const Sql::DatabaseReply& aReply) {
-          finish();
-          const auto status = links_.dialer.ReadStatus(aReply);
-          if (holds && status && status->isPrimary)
-            aRouter.AddSample(sentAt, status->received);
-        });
-    });
-}
-
 const Route*
 Node::FindRoute(std::string_view aDatabase) const
 {
@@ -550,55 +510,7 @@
 void
 Node::Report(const StatementReport& aReport)
 {
-  const StatementResult& result = aReport.result;
-  const std::string_view outcome =
-    result.error ? Sql::kErrorCodeNames.NameOf(result.error->code) : "ok";
-  metrics_.Count("statements_total{outcome=\"" + std::string(outcome) + "\"}");
-  metrics_.Record("statement_seconds", aReport.latency);
-  if (!result.error)
-    metrics_.Count(result.ranAtReplica ? "served_at_replica_total"
-                                       : "served_at_primary_total");
-  const bool isLate = aReport.latency > aReport.route->targetLatency;
-  const bool isRoutine = !result.error && !isLate && result.attempts <= 1;
-  if (isRoutine && !TakeRoutineLine()) {
-    metrics_.Count("routine_lines_skipped_total");
-    return;
-  }
-  LogStatement(aReport, outcome);
-}
-
-bool
-Node::TakeRoutineLine()
-{
-  const Core::Instant now = scheduler_.Now();
-  if (now < nextRoutineLine_)
-    return false;
-  nextRoutineLine_ = now + kRoutineLineInterval;
-  return true;
-}
-
-void
-Node::LogStatement(const StatementReport& aReport, std::string_view aOutcome)
-{
-  const StatementResult& result = aReport.result;
-  log_(
-    "statement",
-    { { "request", aReport.statement.requestId },
-      { "kind", Sql::kStatementKindNames.NameOf(aReport.statement.kind) },
-      { "route", aReport.route->name },
-      { "group", aReport.route->group },
-      { "database", result.database },
-      { "in_transaction", aReport.isInTransaction },
-      { "attempts", result.attempts },
-      { "sent", result.wasSent },
-      { "ms", Core::ToMilliseconds(aReport.latency) },
-      { "configuration", configuration_.version },
-      { "term", result.term },
-      { "floor", result.floor ? result.floor->ToText() : "" },
-      { "authority_ms",
-        result.authorityAge ? Core::ToMilliseconds(*result.authorityAge) : -1 },
-      { "outcome", aOutcome },
-      { "reason", result.error ? result.error->text : "" } });
+  statementLog_.Add(aReport, configuration_.version);
 }
 
 void
--- a/Libraries/LibPooler/RemotePools.cpp
+++ b/Libraries/LibPooler/RemotePools.cpp
@@ -278,7 +278,8 @@
   }
   wait.asked.insert(owner->Key());
   wait.channel = TakeChannel(*owner);
-  wait.request.dueIn = wait.due - scheduler_.Now();
+  wait.askedAt = scheduler_.Now();
+  wait.request.dueIn = wait.due - wait.askedAt;
   wait.channel->Request(aTicket, wait.request);
   WatchSilence(aTicket);
 }
@@ -324,6 +325,7 @@
   CheckoutOutcome outcome;
   outcome.link = std::make_shared<RemoteLink>(wait.mapped().channel);
   outcome.grant = aGrant;
+  outcome.askedAt = wait.mapped().askedAt;
   wait.mapped().done(std::move(outcome));
 }
 
--- a/Libraries/LibPooler/include/LibPooler/Checkout.h
+++ b/Libraries/LibPooler/include/LibPooler/Checkout.h
@@ -26,6 +26,14 @@
   bool mustProve = false;
 };
 
+/** A sample of a primary's position, as Authority::SampleBook has them. */
+struct RelayedSample
+{
+  /** How long before it was passed on the primary was asked. */
+  Core::Duration age{ 0 };
+  Session::LogPosition position;
+};
+
 /** A connection is checked out and in the state that was asked for. */
 struct CheckoutGrant
 {
@@ -35,6 +43,8 @@
   std::uint64_t lastName = 0;
   /** The end of the database's log as last seen. */
   std::optional<Session::LogPosition> position;
+  /** What the owner knows of the group's primary, whatever database it is. */
+  std::optional<RelayedSample> sample{};
 };
 
 /** Why a node doesn't give a connection. */
--- a/Libraries/LibPooler/include/LibPooler/CheckoutSession.h
+++ b/Libraries/LibPooler/include/LibPooler/CheckoutSession.h
@@ -16,6 +16,9 @@
   /** The pool of a database, if this node may give connections of it away. */
   virtual std::shared_ptr<ConnectionPool> OwnPool(
     const std::string& aDatabase) = 0;
+  /** The newest sample of the primary of a database's group. */
+  virtual std::optional<RelayedSample> NewestSample(
+    const std::string& aDatabase) const = 0;
   /** A connection that is checked out and unused for longer is taken back. */
   virtual Core::Duration CheckoutIdleLimit() const = 0;
 };
--- a/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
+++ b/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
@@ -64,6 +64,8 @@
   /** Null when refused. */
   using Receiver = std::function<void(PooledConnectionHandle, PoolRefusal)>;
   /** Lower is served first. */
+  using SampleSink =
+    std::function<void(Core::Instant, const Session::LogPosition&)>;
   using Rank = std::pair<Core::Instant, std::uint64_t>;
 
   ConnectionPool(Core::Scheduler& aScheduler,
@@ -76,6 +78,8 @@
 
   /** 0 only where there are other nodes' pools; else at least 1 is taken. */
   void SetLimit(int aLimit);
+  /** Gets what other nodes know of the position of the group's primary. */
+  void SetSampleSink(SampleSink aSink) { sampleSink_ = std::move(aSink); }
   /** True when this node opens connections itself. */
   bool IsOwner() const { return limit_ > 0; }
   void Update(const Database& aDatabase) { database_ = aDatabase; }
@@ -184,6 +188,7 @@
   Sql::DatabaseDialer& dialer_;
   Database database_;
   RemotePools* remote_;
+  SampleSink sampleSink_;
   int limit_ = 1;
   int inUse_ = 0;
   int dialling_ = 0;
--- a/Libraries/LibPooler/include/LibPooler/GroupRouter.h
+++ b/Libraries/LibPooler/include/LibPooler/GroupRouter.h
@@ -103,4 +103,7 @@
   std::uint64_t lastTicket_ = 0;
 };
 
+/** All groups' routers, by name. */
+using GroupRouters = std::map<std::string, std::unique_ptr<GroupRouter>>;
+
 } // namespace Pooler
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -9,6 +9,8 @@
 #include <LibPooler/GroupRouter.h>
 #include <LibPooler/Membership.h>
 #include <LibPooler/RelayBook.h>
+#include <LibPooler/SampleKeeper.h>
+#include <LibPooler/StatementLog.h>
 
 #include <map>
 #include <memory>
@@ -104,6 +106,8 @@
 
   std::shared_ptr<ConnectionPool> OwnPool(
     const std::string& aDatabase) override;
+  std::optional<RelayedSample> NewestSample(
+    const std::string& aDatabase) const override;
   Core::Duration CheckoutIdleLimit() const override;
 
   const std::string& MemberKey() const override { return memberKey_; }
@@ -124,8 +128,6 @@
   void Observe(const Authority::GroupRecord& aRecord, Core::Instant aAskedAt);
   GroupRouter& RouterOf(const std::string& aName);
   void ShareDatabases();
-  bool TakeRoutineLine();
-  void LogStatement(const StatementReport& aReport, std::string_view aOutcome);
   void ShareConnections();
   void ShareGroup(GroupRouter& aRouter,
                   const std::vector<Member>& aPresent,
@@ -133,8 +135,6 @@
   void ShareRelays();
   void Tick();
   void ShareSeenRows();
-  void KeepSamplesFresh();
-  void SampleGroup(GroupRouter& aRouter);
   void RenewByHeartbeat(const Heartbeat& aHeartbeat);
   void AskPeer();
   void OnRelayed(const std::vector<RelayedRecord>& aRecords,
@@ -159,15 +159,14 @@
   bool hasRows_ = false;
   bool isStopping_ = false;
   bool refusesWork_ = false;
-  std::map<std::string, std::unique_ptr<GroupRouter>> routers_;
-  std::set<std::string> sampling_;
+  GroupRouters routers_;
+  SampleKeeper samples_;
+  StatementLog statementLog_;
   /** When the store was last asked a question that it answered. */
   Core::Instant storeAskedAt_ = Core::Instant::min();
-  Core::Instant nextRoutineLine_ = Core::Instant::min();
   bool isAskingPeer_ = false;
   std::size_t nextPeer_ = 0;
   Core::TimerHandle tick_;
-  Core::TimerHandle sampler_;
 };
 
 } // namespace Pooler
--- a/Libraries/LibPooler/include/LibPooler/RemotePools.h
+++ b/Libraries/LibPooler/include/LibPooler/RemotePools.h
@@ -22,6 +22,8 @@
   /** Null when no owner gave a connection. */
   std::shared_ptr<CheckedOutLink> link;
   CheckoutGrant grant;
+  /** When the owner that gave it was asked. */
+  Core::Instant askedAt{};
 };
 
 /**
@@ -67,6 +69,7 @@
     std::string group;
     CheckoutRequest request;
     Core::Instant due;
+    Core::Instant askedAt{};
     Handler done;
     std::function<void()> onLost;
     /** The owners that have been asked, by key. */
--- a/Tests/LibPeers/TestCheckoutMessages.cpp
+++ b/Tests/LibPeers/TestCheckoutMessages.cpp
@@ -144,6 +144,13 @@
   BOOST_TEST(grant.shapeName == "m4");
   BOOST_TEST(grant.lastName == 9U);
   BOOST_TEST(!grant.position.has_value());
+  BOOST_TEST(!grant.sample.has_value());
+  Pooler::CheckoutGrant sampled;
+  sampled.sample = Pooler::RelayedSample{ 250ms, { 4, 11 } };
+  const auto read = RoundTripFromOwner(sampled);
+  BOOST_REQUIRE(read.sample.has_value());
+  BOOST_CHECK(read.sample->age == 250ms);
+  BOOST_CHECK((read.sample->position == Session::LogPosition{ 4, 11 }));
   for (const auto& [refusal, name] : Pooler::kCheckoutRefusalNames.entries)
     BOOST_CHECK(RoundTripFromOwner(refusal) == refusal);
   RoundTripFromOwner(Peers::CheckoutWaiting{});
--- a/Tests/LibPooler/FakeOwners.h
+++ b/Tests/LibPooler/FakeOwners.h
@@ -23,10 +23,16 @@
     const auto pool = pools.find(aDatabase);
     return pool == pools.end() ? nullptr : pool->second;
   }
+  std::optional<Pooler::RelayedSample> NewestSample(
+    const std::string&) const override
+  {
+    return sample;
+  }
   Core::Duration CheckoutIdleLimit() const override { return idleLimit; }
 
   std::map<std::string, std::shared_ptr<Pooler::ConnectionPool>> pools;
   Core::Duration idleLimit = std::chrono::seconds(5);
+  std::optional<Pooler::RelayedSample> sample;
   /** Neither takes messages nor sends any; its connections stay open. */
   bool isFrozen = false;
   /** How many channels were opened to it. */
--- a/Tests/LibPooler/TestCheckout.cpp
+++ b/Tests/LibPooler/TestCheckout.cpp
@@ -278,6 +278,21 @@
   BOOST_TEST(held.front()->isLost);
 }
 
+BOOST_AUTO_TEST_CASE(ASampleComesAlongAndIsNotTakenForYoungerThanItIs)
+{
+  std::optional<Core::Instant> sentAt;
+  pool.SetSampleSink([&](Core::Instant aSentAt, const auto& aPosition) {
+    sentAt = aSentAt;
+    BOOST_TEST(aPosition.position == 70U);
+  });
+  owners.Add("near").sample = Pooler::RelayedSample{ 300ms, { 1, 70 } };
+  const Core::Instant before = time.Now();
+  Want("a");
+  Pass(50ms);
+  BOOST_REQUIRE(sentAt.has_value());
+  BOOST_TEST((*sentAt <= before - 300ms));
+}
+
 BOOST_AUTO_TEST_CASE(WhoeverBecomesAnOwnerClosesWhatIsTooMuchWhenItEnds)
 {
   pool.SetLimit(2);
--- a/Tests/Platform/StandInDatabases.h
+++ b/Tests/Platform/StandInDatabases.h
@@ -38,6 +38,8 @@
   Session::LogPosition Position() const;
   /** The value that the log gives an item; "-" if there is none. */
   std::string ValueOf(const std::string& aItem) const;
+  /** The connections that are open to it. */
+  std::size_t Connections() const { return sessions_.size(); }
   void Append(LogEntry aEntry) { log_.push_back(std::move(aEntry)); }
 
   bool isPrimary = false;
--- a/Tests/Platform/TestNodeOnLoopback.cpp
+++ b/Tests/Platform/TestNodeOnLoopback.cpp
@@ -97,7 +97,8 @@
                 R"(,"routes":[{"name":"r1","host":")" + aDatabase +
                 R"(","service":"g1","kind":"read_your_writes","timeout-ms":3000,
            "target-latency-ms":400,"max-staleness-ms":2500,"priority":1}],
-           "services":[{"name":"g1","max-conns":34}],
+           "services":[{"name":"g1","max-conns":)" +
+                std::to_string(maxConnections) + R"(}],
            "limits":{"tx-idle-ms":60000}})");
   }
 
@@ -191,6 +192,7 @@
   }
 
   Core::Loop loop;
+  int maxConnections = 34;
   StandIns::StandInStore store;
   Wire::Address storeAddress;
   std::map<std::string, std::unique_ptr<StandIns::StandInDatabase>> databases;
@@ -302,6 +304,31 @@
   BOOST_TEST(Ask(client, "STORE k v").starts_with("COMPLETE signed-i-a"));
 }
 
+/** Four nodes may open two connections to each database between them. */
+BOOST_AUTO_TEST_CASE(NodesWithoutConnectionsUseThoseOfOthers)
+{
+  maxConnections = 4;
+  Configure(2, "shop");
+  nodes.push_back(StartNode("n3"));
+  nodes.push_back(StartNode("n4"));
+  for (std::size_t node = 0; node < nodes.size(); ++node) {
+    const std::string value = "v" + std::to_string(node);
+    Client& client = ServingClient(node);
+    for (int round = 0; round < 40; ++round) {
+      BOOST_TEST(
+        Ask(client, "STORE k " + value).starts_with("COMPLETE signed-i-a"));
+      BOOST_TEST(Ask(client, "FETCH k").starts_with("DATAROW " + value));
+    }
+    Ask(client, "BEGIN");
+    Ask(client, "STORE k in transaction");
+    BOOST_TEST(Ask(client, "COMMIT").starts_with("COMPLETE signed-i-a"));
+    BOOST_TEST(Ask(client, "PARSE s1 STORE q2c") == "COMPLETE - READY I -");
+    BOOST_TEST(Ask(client, "EXECUTE s1 k v2").starts_with("COMPLETE signed-"));
+  }
+  for (const auto& [id, database] : databases)
+    BOOST_TEST(database->Connections() <= 4);
+}
+
 BOOST_AUTO_TEST_CASE(AStopSendsClientsElsewhereAndLetsTransactionsEnd)
 {
   Client& resting = ServingClient(0);
