LibAuthority: Choose the next primary in a function of its own

Cause: who leads next, the rule that decides whether an acknowledged write survives, stood in the middle of the supervisor's stages and could be tested only through them. Two ends of a change wrote the same; one member was never read.

Change: ChooseCandidate is pure; the supervisor asks it and acts. TestClientSession's transactions are TestClientTransactions.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -365,69 +365,30 @@
 void
 GroupSupervisor::TryChoose()
 {
-  const Core::Duration waited = scheduler_.Now() - stageSince_;
-  for (const auto& [id, status] : statuses_) {
-    if (!LeadsNow(id, status))
-      continue;
-    Complete(id, status);
-    return;
-  }
-  const SupervisedDatabase* best = nullptr;
-  std::size_t useful = 0;
-  std::size_t answered = 0;
-  for (const SupervisedDatabase& database : databases_) {
-    const auto status = statuses_.find(database.id);
-    const bool isAnswered = status != statuses_.end();
-    // The old primary is a candidate of last resort only.
-    if (database.isLeaving || database.id == record_->primary)
-      continue;
-    ++useful;
-    if (!isAnswered)
-      continue;
-    ++answered;
-    if (best == nullptr ||
-        status->second.received > statuses_.at(best->id).received)
-      best = &database;
-  }
-  const bool isLate = waited > timing_.choiceTimeout;
-  if (best == nullptr) {
-    // Only the old primary is left: it may lead again, with its whole log.
-    TryKeepPrimary(isLate);
-    return;
+  const bool isLate = scheduler_.Now() - stageSince_ > timing_.choiceTimeout;
+  const CandidateChoice choice = ChooseCandidate(
+    { *record_, databases_, statuses_, steppedDownAt_, isLate });
+  switch (choice.decision) {
+    case CandidateDecision::Wait:
+      return;
+    case CandidateDecision::Promote:
+      Name(choice.database);
+      return;
+    case CandidateDecision::LeadsAlready:
+      Complete(choice.database, statuses_.at(choice.database));
+      return;
+    case CandidateDecision::KeepPrimary:
+      KeepPrimary();
   }
-  if (answered < useful && !isLate)
-    return;
-  // What the old primary acknowledged is on its way to the replicas.
-  if (steppedDownAt_ && statuses_.at(best->id).received < *steppedDownAt_ &&
-      !isLate)
-    return;
-  Name(best->id);
 }
 
 void
-GroupSupervisor::TryKeepPrimary(bool aIsLate)
+GroupSupervisor::KeepPrimary()
 {
-  const auto status = statuses_.find(record_->primary);
-  if (status == statuses_.end() || Find(record_->primary) == nullptr)
-    return;
-  const bool isStillLeading =
-    status->second.isPrimary && status->second.term == record_->term;
-  if (!isStillLeading) {
-    if (aIsLate)
-      Name(record_->primary);
-    return;
-  }
-  if (!aIsLate)
-    return;
-  // Nobody else answers and it never stopped leading: the change is off.
   port_.Log("primary_change_cancelled", { { "group", group_ } });
   GroupRecord record = *record_;
   record.change.reset();
-  EnterStage(Stage::Completing);
-  WriteAndThen(record, [this] {
-    primaryAliveAt_ = scheduler_.Now();
-    Abandon();
-  });
+  WriteEnd(record);
 }
 
 void
@@ -455,7 +416,6 @@
   if (!port_.HoldsDuty(timing_.promoteTimeout))
     return;
   isPromoteCalled_ = true;
-  promoteCalledAt_ = scheduler_.Now();
   const std::string candidate = record_->change->candidate;
   port_.Promote(group_,
                 candidate,
@@ -499,7 +459,8 @@
 GroupSupervisor::OnCandidateProbe(const ProbeOutcome& aOutcome)
 {
   const std::string candidate = record_->change->candidate;
-  if (!aOutcome.status || !LeadsNow(candidate, *aOutcome.status)) {
+  if (!aOutcome.status ||
+      !LeadsInstead(*record_, candidate, *aOutcome.status)) {
     // A successor doesn't know whether its predecessor made the call.
     if (!isPromoteCalled_)
       CallPromote();
@@ -508,17 +469,6 @@
   Complete(candidate, *aOutcome.status);
 }
 
-bool
-GroupSupervisor::LeadsNow(const std::string& aId,
-                          const Sql::DatabaseStatus& aStatus) const
-{
-  if (!aStatus.isPrimary || aStatus.term < record_->term)
-    return false;
-  // A database that leaves for good hands its log, and its lead in the same
-  // term, to a new one at its address.
-  return aStatus.term > record_->term || aId != record_->primary;
-}
-
 void
 GroupSupervisor::Complete(const std::string& aId,
                           const Sql::DatabaseStatus& aStatus)
@@ -530,8 +480,14 @@
               { "primary", record.primary },
               { "term", record.term },
               { "position", aStatus.received.position } });
+  WriteEnd(record);
+}
+
+void
+GroupSupervisor::WriteEnd(const GroupRecord& aRecord)
+{
   EnterStage(Stage::Completing);
-  WriteAndThen(record, [this] {
+  WriteAndThen(aRecord, [this] {
     primaryAliveAt_ = scheduler_.Now();
     Abandon();
   });
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAuthority/CandidateChoice.h>
 #include <LibAuthority/CoordinationStore.h>
 #include <LibAuthority/GroupRecord.h>
 #include <LibAuthority/PrimaryAuthority.h>
@@ -17,14 +18,6 @@
 
 namespace Authority {
 
-/** A database of the group as the platform's list shows it. */
-struct SupervisedDatabase
-{
-  std::string id;
-  std::string dataCentre;
-  bool isLeaving = false;
-};
-
 /** How a call to promote a database ended. */
 enum class PromoteResult
 {
@@ -185,15 +178,14 @@
   void BeginChoosing();
   void AskCandidates();
   void TryChoose();
-  void TryKeepPrimary(bool aIsLate);
+  void KeepPrimary();
   void Name(const std::string& aCandidate);
   void CallPromote();
   void WatchCandidate();
   void OnCandidateProbe(const ProbeOutcome& aOutcome);
-  /** True if a database leads that isn't the primary of the record. */
-  bool LeadsNow(const std::string& aId,
-                const Sql::DatabaseStatus& aStatus) const;
   void Complete(const std::string& aId, const Sql::DatabaseStatus& aStatus);
+  /** Writes the record that ends the change. */
+  void WriteEnd(const GroupRecord& aRecord);
   void WriteAndThen(const GroupRecord& aRecord, std::function<void()> aNext);
   void ProbeInto(const std::string& aId);
   const SupervisedDatabase* Find(const std::string& aId) const;
@@ -219,7 +211,6 @@
   std::map<std::string, Sql::DatabaseStatus> statuses_;
   /** Where the old primary's log ended once it had stepped down. */
   std::optional<Session::LogPosition> steppedDownAt_;
-  Core::Instant promoteCalledAt_{};
   bool isPromoteCalled_ = false;
 };
 
--- a/Tests/LibPeers/TestCheckoutMessages.cpp
+++ b/Tests/LibPeers/TestCheckoutMessages.cpp
@@ -20,28 +20,31 @@
   return aText;
 }
 
-template<typename Message>
+/** What the other side reads when aMessage is sent. */
+template<typename Message, typename Decode>
 Message
-RoundTripToOwner(const Message& aMessage)
+Read(std::string aLine, Decode aDecode)
 {
   Core::Findings findings;
-  const auto read =
-    Peers::DecodeToOwner(LineOf(Peers::EncodeToOwner(aMessage)), findings);
+  const auto read = aDecode(LineOf(std::move(aLine)), findings);
   BOOST_TEST(findings.ToText() == "");
   BOOST_REQUIRE(read.has_value());
   return std::get<Message>(*read);
 }
 
+template<typename Message>
+Message
+RoundTripToOwner(const Message& aMessage)
+{
+  return Read<Message>(Peers::EncodeToOwner(aMessage), Peers::DecodeToOwner);
+}
+
 template<typename Message>
 Message
 RoundTripFromOwner(const Message& aMessage)
 {
-  Core::Findings findings;
-  const auto read =
-    Peers::DecodeFromOwner(LineOf(Peers::EncodeFromOwner(aMessage)), findings);
-  BOOST_TEST(findings.ToText() == "");
-  BOOST_REQUIRE(read.has_value());
-  return std::get<Message>(*read);
+  return Read<Message>(Peers::EncodeFromOwner(aMessage),
+                       Peers::DecodeFromOwner);
 }
 
 const std::string kAnyBytes = "a\r\n\"b\\ \xff\xc3( \x01 end";
--- /dev/null
+++ b/Tests/LibPooler/SessionFixture.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "FakeDatabases.h"
+
+#include <LibPooler/ClientSession.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Fakes {
+
+inline constexpr Authority::AuthorityLease kLease{
+  std::chrono::milliseconds(7500),
+  std::chrono::milliseconds(1200)
+};
+
+/** What a client was told. */
+struct Answer
+{
+  std::optional<Sql::ErrorCode> error;
+  std::string signature;
+  Sql::TransactionState state = Sql::TransactionState::Idle;
+};
+
+/** One group of a primary "p" and replicas "a" and "b", and one client. */
+class SessionFixture
+  : public Pooler::SessionHost
+  , public Pooler::ClientPort
+{
+public:
+  SessionFixture()
+    : databases(time)
+    , router(time, databases, "g", "dc", kLease)
+  {
+    databases.Add("p", true);
+    databases.Add("a", false);
+    databases.Add("b", false);
+    router.SetDatabases({ Listed("p"), Listed("a"), Listed("b") });
+    router.SetConnectionLimit(2);
+    Renew();
+    AddRoute("strong", Pooler::Consistency::Strong);
+    AddRoute("bounded", Pooler::Consistency::BoundedStaleness);
+    AddRoute("own", Pooler::Consistency::ReadYourWrites);
+  }
+  ~SessionFixture() override
+  {
+    sessions.clear();
+    time.Close();
+  }
+
+  static Pooler::Database Listed(const std::string& aId)
+  {
+    Pooler::Database database;
+    database.id = aId;
+    database.group = "g";
+    database.dataCentre = "dc";
+    return database;
+  }
+
+  /** The store confirms now that the record holds. */
+  void Renew() { router.ObserveRecord(record, time.Now()); }
+
+  Pooler::ClientSession& Open(const std::string& aDatabase)
+  {
+    sessions.push_back(
+      std::make_unique<Pooler::ClientSession>(time, *this, *this, aDatabase));
+    return *sessions.back();
+  }
+
+  /** Sends a statement without waiting. */
+  static void Send(Pooler::ClientSession& aSession,
+                   Sql::StatementKind aKind,
+                   const std::string& aText,
+                   const std::string& aName = "",
+                   const std::string& aArgument = "",
+                   bool aPreparesWrite = false)
+  {
+    aSession.OnStatement(
+      { aKind, "r", aText, aName, aArgument, aPreparesWrite });
+  }
+
+  void Pass(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
+
+  /** Sends a statement and gives the answer to it. */
+  Answer Ask(Pooler::ClientSession& aSession,
+             Sql::StatementKind aKind,
+             const std::string& aText,
+             Core::Duration aPatience = std::chrono::milliseconds(1500))
+  {
+    answers.clear();
+    Send(aSession, aKind, aText);
+    Pass(aPatience);
+    BOOST_REQUIRE(answers.size() == 1);
+    return answers.front();
+  }
+
+  const Pooler::Route* FindRoute(std::string_view aDatabase) const override
+  {
+    const auto route = routes.find(std::string(aDatabase));
+    return route == routes.end() ? nullptr : &route->second;
+  }
+  Pooler::GroupRouter* FindRouter(const std::string&) override
+  {
+    return &router;
+  }
+  Core::Duration TransactionIdleTimeout() const override
+  {
+    return std::chrono::seconds(3);
+  }
+  bool AcceptsWork() const override { return acceptsWork; }
+  void Report(const Pooler::StatementReport& aReport) override
+  {
+    servedBy.push_back(aReport.result.database);
+  }
+
+  void SendSuccess(const std::vector<std::string>&,
+                   std::string_view aSignature,
+                   Sql::TransactionState aState) override
+  {
+    answers.push_back({ std::nullopt, std::string(aSignature), aState });
+  }
+  void SendError(const Sql::Error& aError,
+                 Sql::TransactionState aState) override
+  {
+    answers.push_back({ aError.code, "", aState });
+  }
+  void CloseSession() override { ++closed; }
+
+  Simulation::VirtualTime time;
+  FakeDatabases databases;
+  Authority::GroupRecord record{ "g", 1, "p", std::nullopt, {}, 1 };
+  Pooler::GroupRouter router;
+  std::map<std::string, Pooler::Route> routes;
+  std::vector<std::unique_ptr<Pooler::ClientSession>> sessions;
+  std::vector<Answer> answers;
+  std::vector<std::string> servedBy;
+  int closed = 0;
+  bool acceptsWork = true;
+
+private:
+  void AddRoute(const std::string& aName, Pooler::Consistency aConsistency)
+  {
+    Pooler::Route route;
+    route.name = aName;
+    route.group = "g";
+    route.consistency = aConsistency;
+    route.maxStaleness = std::chrono::milliseconds(1500);
+    route.statementTimeout = std::chrono::milliseconds(1000);
+    route.targetLatency = std::chrono::milliseconds(200);
+    routes[aName] = route;
+  }
+};
+
+} // namespace Fakes
--- a/Tests/LibPooler/TestClientSession.cpp
+++ b/Tests/LibPooler/TestClientSession.cpp
@@ -2,154 +2,17 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "FakeDatabases.h"
-
-#include <LibPooler/ClientSession.h>
+#include "SessionFixture.h"
 
 namespace data = boost::unit_test::data;
 using namespace std::chrono_literals;
-using Pooler::Consistency;
+using Fakes::Answer;
+using Fakes::SessionFixture;
 using Sql::ErrorCode;
 using Sql::StatementKind;
-using Sql::TransactionState;
 
 namespace {
 
-constexpr Authority::AuthorityLease kLease{ 7500ms, 1200ms };
-
-/** What a client was told. */
-struct Answer
-{
-  std::optional<ErrorCode> error;
-  std::string signature;
-  TransactionState state = TransactionState::Idle;
-};
-
-/** One group of a primary "p" and replicas "a" and "b", and one client. */
-class Fixture
-  : public Pooler::SessionHost
-  , public Pooler::ClientPort
-{
-public:
-  Fixture()
-    : databases(time)
-    , router(time, databases, "g", "dc", kLease)
-  {
-    databases.Add("p", true);
-    databases.Add("a", false);
-    databases.Add("b", false);
-    router.SetDatabases({ Listed("p"), Listed("a"), Listed("b") });
-    router.SetConnectionLimit(2);
-    Renew();
-    AddRoute("strong", Consistency::Strong);
-    AddRoute("bounded", Consistency::BoundedStaleness);
-    AddRoute("own", Consistency::ReadYourWrites);
-  }
-  ~Fixture() override
-  {
-    sessions.clear();
-    time.Close();
-  }
-
-  static Pooler::Database Listed(const std::string& aId)
-  {
-    Pooler::Database database;
-    database.id = aId;
-    database.group = "g";
-    database.dataCentre = "dc";
-    return database;
-  }
-
-  /** The store confirms now that the record holds. */
-  void Renew() { router.ObserveRecord(record, time.Now()); }
-
-  Pooler::ClientSession& Open(const std::string& aDatabase)
-  {
-    sessions.push_back(
-      std::make_unique<Pooler::ClientSession>(time, *this, *this, aDatabase));
-    return *sessions.back();
-  }
-
-  /** Sends a statement without waiting. */
-  static void Send(Pooler::ClientSession& aSession,
-                   StatementKind aKind,
-                   const std::string& aText,
-                   const std::string& aName = "",
-                   const std::string& aArgument = "",
-                   bool aPreparesWrite = false)
-  {
-    aSession.OnStatement(
-      { aKind, "r", aText, aName, aArgument, aPreparesWrite });
-  }
-
-  void Pass(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
-
-  /** Sends a statement and gives the answer to it. */
-  Answer Ask(Pooler::ClientSession& aSession,
-             StatementKind aKind,
-             const std::string& aText,
-             Core::Duration aPatience = 1500ms)
-  {
-    answers.clear();
-    Send(aSession, aKind, aText);
-    Pass(aPatience);
-    BOOST_REQUIRE(answers.size() == 1);
-    return answers.front();
-  }
-
-  const Pooler::Route* FindRoute(std::string_view aDatabase) const override
-  {
-    const auto route = routes.find(std::string(aDatabase));
-    return route == routes.end() ? nullptr : &route->second;
-  }
-  Pooler::GroupRouter* FindRouter(const std::string&) override
-  {
-    return &router;
-  }
-  Core::Duration TransactionIdleTimeout() const override { return 3s; }
-  bool AcceptsWork() const override { return acceptsWork; }
-  void Report(const Pooler::StatementReport& aReport) override
-  {
-    servedBy.push_back(aReport.result.database);
-  }
-
-  void SendSuccess(const std::vector<std::string>&,
-                   std::string_view aSignature,
-                   TransactionState aState) override
-  {
-    answers.push_back({ std::nullopt, std::string(aSignature), aState });
-  }
-  void SendError(const Sql::Error& aError, TransactionState aState) override
-  {
-    answers.push_back({ aError.code, "", aState });
-  }
-  void CloseSession() override { ++closed; }
-
-  Simulation::VirtualTime time;
-  Fakes::FakeDatabases databases;
-  Authority::GroupRecord record{ "g", 1, "p", std::nullopt, {}, 1 };
-  Pooler::GroupRouter router;
-  std::map<std::string, Pooler::Route> routes;
-  std::vector<std::unique_ptr<Pooler::ClientSession>> sessions;
-  std::vector<Answer> answers;
-  std::vector<std::string> servedBy;
-  int closed = 0;
-  bool acceptsWork = true;
-
-private:
-  void AddRoute(const std::string& aName, Consistency aConsistency)
-  {
-    Pooler::Route route;
-    route.name = aName;
-    route.group = "g";
-    route.consistency = aConsistency;
-    route.maxStaleness = 1500ms;
-    route.statementTimeout = 1000ms;
-    route.targetLatency = 200ms;
-    routes[aName] = route;
-  }
-};
-
 struct LossCase
 {
   const char* name;
@@ -181,7 +44,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(Sessions, Fixture)
+BOOST_FIXTURE_TEST_SUITE(Sessions, SessionFixture)
 
 BOOST_AUTO_TEST_CASE(AWriteGoesToThePrimaryUnchanged)
 {
@@ -217,83 +80,13 @@
              boost::test_tools::per_element());
 }
 
-BOOST_AUTO_TEST_CASE(ATransactionOpensWithItsFirstStatementOnOneConnection)
-{
-  auto& session = Open("strong");
-  BOOST_CHECK(Ask(session, StatementKind::Begin, "BEGIN").state ==
-              TransactionState::Open);
-  BOOST_TEST(databases.At("p").ran.empty());
-  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
-  const Answer answer = Ask(session, StatementKind::Commit, "COMMIT", 100ms);
-  BOOST_TEST(answer.signature == "signed-p");
-  const std::vector<std::string> expected{ "begin", "r STORE 1 x", "r COMMIT" };
-  BOOST_TEST(databases.At("p").ran == expected,
-             boost::test_tools::per_element());
-  BOOST_TEST(session.IsIdle());
-}
-
-BOOST_AUTO_TEST_CASE(ARollbackIsAnsweredAtOnce)
-{
-  auto& session = Open("strong");
-  Ask(session, StatementKind::Begin, "BEGIN");
-  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
-  answers.clear();
-  Send(session, StatementKind::Rollback, "ABORT");
-  BOOST_REQUIRE(answers.size() == 1);
-  Pass(100ms);
-  BOOST_TEST(databases.At("p").HasRun("rollback"));
-}
-
-BOOST_AUTO_TEST_CASE(ARestingTransactionIsRolledBackAndTheClientTold)
-{
-  auto& session = Open("strong");
-  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
-  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
-  Pass(3100ms);
-  BOOST_TEST(databases.At("p").HasRun("rollback"));
-  Renew();
-  const Answer answer = Ask(session, StatementKind::Commit, "COMMIT");
-  BOOST_CHECK(answer.error == ErrorCode::RolledBack);
-  BOOST_CHECK(answer.state == TransactionState::Idle);
-  BOOST_TEST(!databases.At("p").HasRun("r COMMIT"));
-}
-
-BOOST_DATA_TEST_CASE_F(Fixture, ALostAnswer, data::make(kLosses))
+BOOST_DATA_TEST_CASE_F(SessionFixture, ALostAnswer, data::make(kLosses))
 {
   databases.At("p").answersToLose = 1;
   const Answer answer = Ask(Open(sample.route), sample.kind, sample.text, 3s);
   BOOST_CHECK(answer.error == sample.expected);
 }
 
-BOOST_AUTO_TEST_CASE(ABrokenConnectionRollsATransactionBack)
-{
-  auto& session = Open("strong");
-  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
-  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
-  answers.clear();
-  Send(session, StatementKind::Write, "STORE 2 y");
-  Pass(2ms);
-  databases.BreakConnections("p");
-  Pass(100ms);
-  BOOST_REQUIRE(answers.size() == 1);
-  BOOST_CHECK(answers.front().error == ErrorCode::RolledBack);
-  BOOST_CHECK(answers.front().state == TransactionState::Failed);
-}
-
-BOOST_AUTO_TEST_CASE(ACommitOnABrokenConnectionIsInDoubt)
-{
-  auto& session = Open("strong");
-  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
-  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
-  answers.clear();
-  Send(session, StatementKind::Commit, "COMMIT");
-  Pass(3ms);
-  databases.BreakConnections("p");
-  Pass(100ms);
-  BOOST_REQUIRE(answers.size() == 1);
-  BOOST_CHECK(answers.front().error == ErrorCode::InDoubt);
-}
-
 BOOST_AUTO_TEST_CASE(ABusyDatabaseIsAskedAgain)
 {
   databases.At("p").timesBusy = 2;
@@ -358,19 +151,6 @@
 }
 
 /** A former primary still commits a transaction that wrote nothing. */
-BOOST_AUTO_TEST_CASE(ACommitOfNothingProvesNothing)
-{
-  Pass(3s);
-  auto& session = Open("strong");
-  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
-  Ask(session, StatementKind::Read, "FETCH 1", 100ms);
-  const auto before = router.Samples().Newest();
-  databases.At("p").isPrimary = false;
-  BOOST_TEST(
-    !Ask(session, StatementKind::Commit, "COMMIT", 100ms).error.has_value());
-  BOOST_CHECK(router.Samples().Newest() == before);
-}
-
 BOOST_AUTO_TEST_CASE(AFencedReadLeavesNoTransactionOpen)
 {
   Pass(3s);
@@ -455,19 +235,6 @@
   BOOST_CHECK(answers.back().error == ErrorCode::NoStatement);
 }
 
-BOOST_AUTO_TEST_CASE(ARouteThatIsGoneEndsWithTheTransaction)
-{
-  auto& session = Open("strong");
-  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
-  routes.erase("strong");
-  BOOST_TEST(
-    !Ask(session, StatementKind::Read, "FETCH 1", 100ms).error.has_value());
-  Ask(session, StatementKind::Commit, "COMMIT", 100ms);
-  BOOST_CHECK(Ask(session, StatementKind::Read, "FETCH 1", 100ms).error ==
-              ErrorCode::NoDatabase);
-}
-
-/** Pattern: an overloaded node stops; what it takes late is never done. */
 BOOST_AUTO_TEST_CASE(AStoppingNodeTakesNothingThatItCouldNotFinish)
 {
   auto& open = Open("strong");
@@ -494,16 +261,4 @@
   BOOST_CHECK(answers.front().error == ErrorCode::InDoubt);
 }
 
-BOOST_AUTO_TEST_CASE(AClientThatLeavesInATransactionFreesItsConnection)
-{
-  router.SetConnectionLimit(1);
-  auto& session = Open("strong");
-  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
-  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
-  sessions.clear();
-  const Answer answer =
-    Ask(Open("strong"), StatementKind::Write, "STORE 2 y", 200ms);
-  BOOST_TEST(!answer.error.has_value());
-}
-
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibPooler/TestClientTransactions.cpp
@@ -0,0 +1,149 @@
+#define BOOST_TEST_MODULE ClientTransactions
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "SessionFixture.h"
+
+namespace data = boost::unit_test::data;
+using namespace std::chrono_literals;
+using Fakes::Answer;
+using Fakes::SessionFixture;
+using Sql::ErrorCode;
+using Sql::StatementKind;
+using Sql::TransactionState;
+
+namespace {
+
+struct BrokenCase
+{
+  const char* name;
+  StatementKind kind;
+  const char* text;
+  /** When the connections break; the answer takes a few milliseconds more. */
+  Core::Duration after;
+  ErrorCode expected;
+  TransactionState state;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const BrokenCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const BrokenCase kBroken[] = {
+  { "a write",
+    StatementKind::Write,
+    "STORE 2 y",
+    2ms,
+    ErrorCode::RolledBack,
+    TransactionState::Failed },
+  { "a commit",
+    StatementKind::Commit,
+    "COMMIT",
+    3ms,
+    ErrorCode::InDoubt,
+    TransactionState::Idle },
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Transactions, SessionFixture)
+
+BOOST_AUTO_TEST_CASE(ATransactionOpensWithItsFirstStatementOnOneConnection)
+{
+  auto& session = Open("strong");
+  BOOST_CHECK(Ask(session, StatementKind::Begin, "BEGIN").state ==
+              TransactionState::Open);
+  BOOST_TEST(databases.At("p").ran.empty());
+  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
+  const Answer answer = Ask(session, StatementKind::Commit, "COMMIT", 100ms);
+  BOOST_TEST(answer.signature == "signed-p");
+  const std::vector<std::string> expected{ "begin", "r STORE 1 x", "r COMMIT" };
+  BOOST_TEST(databases.At("p").ran == expected,
+             boost::test_tools::per_element());
+  BOOST_TEST(session.IsIdle());
+}
+
+BOOST_AUTO_TEST_CASE(ARollbackIsAnsweredAtOnce)
+{
+  auto& session = Open("strong");
+  Ask(session, StatementKind::Begin, "BEGIN");
+  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
+  answers.clear();
+  Send(session, StatementKind::Rollback, "ABORT");
+  BOOST_REQUIRE(answers.size() == 1);
+  Pass(100ms);
+  BOOST_TEST(databases.At("p").HasRun("rollback"));
+}
+
+BOOST_AUTO_TEST_CASE(ARestingTransactionIsRolledBackAndTheClientTold)
+{
+  auto& session = Open("strong");
+  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
+  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
+  Pass(3100ms);
+  BOOST_TEST(databases.At("p").HasRun("rollback"));
+  Renew();
+  const Answer answer = Ask(session, StatementKind::Commit, "COMMIT");
+  BOOST_CHECK(answer.error == ErrorCode::RolledBack);
+  BOOST_CHECK(answer.state == TransactionState::Idle);
+  BOOST_TEST(!databases.At("p").HasRun("r COMMIT"));
+}
+
+BOOST_AUTO_TEST_CASE(ACommitOfNothingProvesNothing)
+{
+  Pass(3s);
+  auto& session = Open("strong");
+  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
+  Ask(session, StatementKind::Read, "FETCH 1", 100ms);
+  const auto before = router.Samples().Newest();
+  databases.At("p").isPrimary = false;
+  BOOST_TEST(
+    !Ask(session, StatementKind::Commit, "COMMIT", 100ms).error.has_value());
+  BOOST_CHECK(router.Samples().Newest() == before);
+}
+
+BOOST_AUTO_TEST_CASE(ARouteThatIsGoneEndsWithTheTransaction)
+{
+  auto& session = Open("strong");
+  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
+  routes.erase("strong");
+  BOOST_TEST(
+    !Ask(session, StatementKind::Read, "FETCH 1", 100ms).error.has_value());
+  Ask(session, StatementKind::Commit, "COMMIT", 100ms);
+  BOOST_CHECK(Ask(session, StatementKind::Read, "FETCH 1", 100ms).error ==
+              ErrorCode::NoDatabase);
+}
+
+/** Pattern: an overloaded node stops; what it takes late is never done. */
+BOOST_AUTO_TEST_CASE(AClientThatLeavesInATransactionFreesItsConnection)
+{
+  router.SetConnectionLimit(1);
+  auto& session = Open("strong");
+  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
+  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
+  sessions.clear();
+  const Answer answer =
+    Ask(Open("strong"), StatementKind::Write, "STORE 2 y", 200ms);
+  BOOST_TEST(!answer.error.has_value());
+}
+
+BOOST_DATA_TEST_CASE_F(SessionFixture,
+                       ABrokenConnectionInATransaction,
+                       data::make(kBroken))
+{
+  auto& session = Open("strong");
+  Ask(session, StatementKind::Begin, "BEGIN", 10ms);
+  Ask(session, StatementKind::Write, "STORE 1 x", 100ms);
+  answers.clear();
+  Send(session, sample.kind, sample.text);
+  Pass(sample.after);
+  databases.BreakConnections("p");
+  Pass(100ms);
+  BOOST_REQUIRE(answers.size() == 1);
+  BOOST_CHECK(answers.front().error == sample.expected);
+  BOOST_CHECK(answers.front().state == sample.state);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
