LibPooler: Say who owned a connection, and take an unanswered one back

Cause: nothing in the log told which node's connection a statement used, who owns a group's pools or why an owner was passed over. An owner had no limit for a command without an answer, so that a silent database and a borrower without power kept a connection for ever.

Change: lines connections_shared and owner_suspected, the owner in a statement's line, counters and a histogram of checkouts. An owner takes a connection back once no route's statement can still wait for the answer.

The fixtures of TestCheckout and TestConnectionPool share PoolFixture.

Tests: AnAnswerThatNeverComesDoesNotKeepAConnection, shares that add up, TestCheckout looks at the lines.

--- a/Libraries/LibPooler/CheckoutSession.cpp
+++ b/Libraries/LibPooler/CheckoutSession.cpp
@@ -107,7 +107,7 @@
   grant.lastName = connection_->state.LastName();
   grant.position = pool_->Position();
   grant.sample = host_.NewestSample(request_.database);
-  WatchIdleness();
+  TakeBackAfter(host_.CheckoutIdleLimit());
   port_.SendGrant(grant);
 }
 
@@ -120,9 +120,9 @@
 }
 
 void
-CheckoutSession::WatchIdleness()
+CheckoutSession::TakeBackAfter(Core::Duration aLimit)
 {
-  idle_ = scheduler_.After(host_.CheckoutIdleLimit(), [this] {
+  limit_ = scheduler_.After(aLimit, [this] {
     // The node that has it was stopped or cut off; the channel may look open.
     GiveBack(false);
     port_.Close();
@@ -136,7 +136,7 @@
     port_.Close();
     return;
   }
-  idle_.reset();
+  TakeBackAfter(host_.CheckoutAnswerLimit());
   ++unanswered_;
   connection_->link->Send(
     aCommand, [this, alive = alive_](const Sql::DatabaseReply& aReply) {
@@ -154,7 +154,7 @@
   if (aReply.position)
     pool_->RecordPosition(*aReply.position);
   if (unanswered_ == 0)
-    WatchIdleness();
+    TakeBackAfter(host_.CheckoutIdleLimit());
   port_.SendReply(aReply);
 }
 
@@ -174,7 +174,7 @@
 CheckoutSession::GiveBack(bool aIsClean)
 {
   batch_.reset();
-  idle_.reset();
+  limit_.reset();
   isGranted_ = false;
   unanswered_ = 0;
   const auto pool = std::exchange(pool_, nullptr);
--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -16,9 +16,6 @@
  */
 constexpr Core::Duration kSilenceLimit = std::chrono::seconds(4);
 
-/** Heartbeats come several times within this. */
-constexpr Core::Duration kHolderSilence = std::chrono::milliseconds(700);
-
 /** Clocks of two VMs run apart by less than this within a lease. */
 constexpr Core::Duration kClockMargin = std::chrono::milliseconds(200);
 
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -21,9 +21,6 @@
 /** A node that the store hasn't answered for this long asks a peer. */
 constexpr Core::Duration kStoreSilence = std::chrono::milliseconds(3500);
 
-/** The holder's heartbeats come several times within this. */
-constexpr Core::Duration kHolderSilence = std::chrono::milliseconds(1000);
-
 /**
  * A transaction that rests is ended by the node that it belongs to; whoever
  * lets that node use the connection waits this much longer. Without a limit for
@@ -32,35 +29,12 @@
 constexpr Core::Duration kCheckoutMargin = std::chrono::milliseconds(1000);
 constexpr Core::Duration kMaxCheckoutRest = std::chrono::seconds(30);
 
-/** The place of a member in a list; the list's size if it isn't there. */
-std::size_t
-RankAmong(const std::vector<Member>& aMembers, const std::string& aKey)
-{
-  const auto found = std::find_if(
-    aMembers.begin(), aMembers.end(), [&aKey](const Member& aMember) {
-      return aMember.Key() == aKey;
-    });
-  return static_cast<std::size_t>(found - aMembers.begin());
-}
-
 bool
 StartsWith(std::string_view aText, std::string_view aPrefix)
 {
   return aText.substr(0, aPrefix.size()) == aPrefix;
 }
 
-/**
- * This node's share of aTotal connections among aNodes. What doesn't divide
- * evenly goes to those whose rank, counted round, is low.
- */
-int
-ShareOf(int aTotal, std::size_t aNodes, std::size_t aRank)
-{
-  const int nodes = std::max(static_cast<int>(aNodes), 1);
-  const int rank = static_cast<int>(aRank) % nodes;
-  return aTotal / nodes + (rank < aTotal % nodes ? 1 : 0);
-}
-
 } // namespace
 
 Node::Node(Core::Scheduler& aScheduler,
@@ -92,7 +66,11 @@
         Observe(aRecord, aAskedAt);
       },
       log_)
-  , remotePools_(aScheduler, aLinks.checkouts, settings_.self.dataCentre)
+  , remotePools_(aScheduler,
+                 aLinks.checkouts,
+                 settings_.self.dataCentre,
+                 aMetrics,
+                 log_)
   , samples_(aScheduler, aLinks.dialer, routers_)
   , statementLog_(aScheduler, aMetrics, log_)
   , tick_(aScheduler.Every(kTickInterval, [this] { Tick(); }))
@@ -118,6 +96,9 @@
          { "routes", aConfiguration.routes.size() } });
   configuration_ = std::move(aConfiguration);
   hasConfiguration_ = true;
+  longestStatement_ = Core::Duration::zero();
+  for (const auto& [database, route] : configuration_.routes)
+    longestStatement_ = std::max(longestStatement_, route.statementTimeout);
   for (const auto& [group, limit] : configuration_.maxConnections)
     RouterOf(group);
   ShareDatabases();
@@ -196,15 +177,24 @@
     return;
   const auto usable =
     static_cast<int>(limit->second * settings_.connectionShare);
-  std::vector<Member> owners = OwnersOf(aRouter.Name(), aPresent, usable);
-  const std::vector<Member>& sharers = owners.empty() ? aPresent : owners;
-  const auto rank = RankAmong(sharers, memberKey_);
-  const bool isOwner = owners.empty() || rank < sharers.size();
-  const int share =
-    isOwner ? ShareOf(usable, sharers.size(), rank + aGroupIndex) : 0;
-  samples_.SetShared(aRouter.Name(), isOwner && !owners.empty());
-  remotePools_.SetOwners(aRouter.Name(), std::move(owners));
-  aRouter.SetConnectionLimit(share);
+  ConnectionShare share =
+    ShareOf(aRouter.Name(), aPresent, memberKey_, usable, aGroupIndex);
+  const bool isShared = !share.owners.empty();
+  if (aRouter.ConnectionLimit() != share.connections)
+    log_("connections_shared",
+         { { "group", aRouter.Name() },
+           { "share", share.connections },
+           { "owners", share.owners.size() },
+           { "members", aPresent.size() } });
+  samples_.SetShared(aRouter.Name(), isShared && share.connections > 0);
+  remotePools_.SetOwners(aRouter.Name(), std::move(share.owners));
+  aRouter.SetConnectionLimit(share.connections);
+}
+
+Core::Duration
+Node::CheckoutAnswerLimit() const
+{
+  return longestStatement_ + kCheckoutMargin;
 }
 
 std::shared_ptr<ConnectionPool>
@@ -387,7 +377,7 @@
 {
   if (duty_.Holds())
     return duty_.KnowsAllChanges() && membership_.HearsMembers();
-  return scheduler_.Now() - kHolderSilence < heardHolderAt_;
+  return scheduler_.Now() - Membership::kHolderSilence < heardHolderAt_;
 }
 
 void
--- a/Libraries/LibPooler/PoolOwners.cpp
+++ b/Libraries/LibPooler/PoolOwners.cpp
@@ -73,6 +73,17 @@
   return round;
 }
 
+/** The place of a member in a list; the list's size if it isn't there. */
+std::size_t
+PlaceOf(const std::vector<Member>& aMembers, const std::string& aKey)
+{
+  const auto found = std::find_if(
+    aMembers.begin(), aMembers.end(), [&aKey](const Member& aMember) {
+      return aMember.Key() == aKey;
+    });
+  return static_cast<std::size_t>(found - aMembers.begin());
+}
+
 } // namespace
 
 std::vector<Member>
@@ -101,4 +112,26 @@
   return owners;
 }
 
+ConnectionShare
+ShareOf(const std::string& aGroup,
+        const std::vector<Member>& aPresent,
+        const std::string& aKey,
+        int aUsable,
+        std::size_t aTurn)
+{
+  ConnectionShare share;
+  share.owners = OwnersOf(aGroup, aPresent, aUsable);
+  const std::vector<Member>& sharers =
+    share.owners.empty() ? aPresent : share.owners;
+  const std::size_t place = PlaceOf(sharers, aKey);
+  const bool isOwner = share.owners.empty() || place < sharers.size();
+  if (!isOwner)
+    return share;
+  const int count = std::max(static_cast<int>(sharers.size()), 1);
+  const int turn = static_cast<int>(place + aTurn) % count;
+  share.connections = aUsable / count + (turn < aUsable % count ? 1 : 0);
+  share.connections = std::max(share.connections, 1);
+  return share;
+}
+
 } // namespace Pooler
--- a/Libraries/LibPooler/RemotePools.cpp
+++ b/Libraries/LibPooler/RemotePools.cpp
@@ -72,7 +72,7 @@
     handlers_.clear();
     if (isUnanswered && pools_->OwnerOf(owner_).heardAt < sentAt_ &&
         pools_->scheduler_.Now() - sentAt_ >= kOwnerSilence)
-      pools_->Suspect(owner_);
+      pools_->Suspect(owner_, OwnerTrouble::Silent);
     if (channel_ == nullptr)
       return;
     if (!aReturn || isUnanswered) {
@@ -102,7 +102,7 @@
     const std::uint64_t ticket = std::exchange(ticket_, 0);
     pools_->Heard(owner_);
     if (aRefusal == CheckoutRefusal::NotOwner)
-      pools_->Suspect(owner_);
+      pools_->Suspect(owner_, OwnerTrouble::NotOwner);
     pools_->AskNext(ticket);
   }
   void OnWaiting() override
@@ -125,7 +125,7 @@
     const std::uint64_t ticket = std::exchange(ticket_, 0);
     const auto handlers = std::exchange(handlers_, {});
     const auto onLost = std::exchange(onLost_, nullptr);
-    pools.Suspect(owner_);
+    pools.Suspect(owner_, OwnerTrouble::Closed);
     pools.Drop(*this);
     for (const Sql::ReplyHandler& handler : handlers)
       handler({});
@@ -151,7 +151,8 @@
 {
 public:
   explicit RemoteLink(std::shared_ptr<RemoteChannel> aChannel)
-    : channel_(std::move(aChannel))
+    : owner_(aChannel->Owner())
+    , channel_(std::move(aChannel))
   {
   }
   ~RemoteLink() override
@@ -173,7 +174,10 @@
     channel->GiveBack(aReturn, channel);
   }
 
+  const std::string& Owner() const override { return owner_; }
+
 private:
+  std::string owner_;
   std::shared_ptr<RemoteChannel> channel_;
 };
 
@@ -181,10 +185,14 @@
 
 RemotePools::RemotePools(Core::Scheduler& aScheduler,
                          CheckoutDialer& aDialer,
-                         std::string aDataCentre)
+                         std::string aDataCentre,
+                         Metrics::Registry& aMetrics,
+                         LogSink aLog)
   : scheduler_(aScheduler)
   , dialer_(aDialer)
   , dataCentre_(std::move(aDataCentre))
+  , metrics_(aMetrics)
+  , log_(std::move(aLog))
 {
 }
 
@@ -239,7 +247,8 @@
   const std::uint64_t ticket = ++lastTicket_;
   Wait wait;
   wait.group = aGroup;
-  wait.due = scheduler_.Now() + aRequest.dueIn;
+  wait.since = scheduler_.Now();
+  wait.due = wait.since + aRequest.dueIn;
   wait.request = std::move(aRequest);
   wait.done = std::move(aDone);
   wait.onLost = std::move(aOnLost);
@@ -302,6 +311,7 @@
   Wait& wait = waits_.at(aTicket);
   const Member* owner = ChooseOwner(wait);
   if (owner == nullptr) {
+    metrics_.Count("checkouts_failed_total");
     scheduler_.Defer([done = std::move(wait.done)] { done({}); });
     waits_.erase(aTicket);
     return;
@@ -339,7 +349,7 @@
     return;
   wait->second.silence = scheduler_.After(kOwnerSilence, [this, aTicket] {
     const ChannelHandle channel = waits_.at(aTicket).channel;
-    Suspect(channel->Owner());
+    Suspect(channel->Owner(), OwnerTrouble::Silent);
     Drop(*channel);
     AskNext(aTicket);
   });
@@ -351,6 +361,8 @@
   const auto wait = waits_.extract(aTicket);
   if (!wait)
     return;
+  metrics_.Count("checkouts_total");
+  metrics_.Record("checkout_seconds", scheduler_.Now() - wait.mapped().since);
   wait.mapped().channel->SetOnLost(std::move(wait.mapped().onLost));
   CheckoutOutcome outcome;
   outcome.link = std::make_shared<RemoteLink>(wait.mapped().channel);
@@ -374,9 +386,16 @@
 }
 
 void
-RemotePools::Suspect(const std::string& aKey)
+RemotePools::Suspect(const std::string& aKey, OwnerTrouble aTrouble)
 {
-  known_[aKey].suspectUntil = scheduler_.Now() + kSuspicion;
+  const Core::Instant now = scheduler_.Now();
+  Owner& owner = known_[aKey];
+  // One line for each spell of trouble.
+  if (owner.suspectUntil < now)
+    log_("owner_suspected",
+         { { "owner", aKey },
+           { "trouble", kOwnerTroubleNames.NameOf(aTrouble) } });
+  owner.suspectUntil = now + kSuspicion;
 }
 
 void
--- /dev/null
+++ b/Libraries/LibPooler/SentStatement.cpp
@@ -0,0 +1,54 @@
+#include <LibPooler/SentStatement.h>
+
+#include <utility>
+
+namespace Pooler {
+
+SentStatement::SentStatement(std::shared_ptr<ConnectionPool> aPool,
+                             PooledConnectionHandle aConnection,
+                             Handler aHandler)
+  : pool_(std::move(aPool))
+  , connection_(std::move(aConnection))
+  , handler_(std::move(aHandler))
+{
+}
+
+std::shared_ptr<SentStatement>
+SentStatement::Send(std::shared_ptr<ConnectionPool> aPool,
+                    PooledConnectionHandle aConnection,
+                    const Sql::DatabaseCommand& aCommand,
+                    Handler aHandler)
+{
+  const std::shared_ptr<Sql::DatabaseLink> link = aConnection->link;
+  std::shared_ptr<SentStatement> sent(new SentStatement(
+    std::move(aPool), std::move(aConnection), std::move(aHandler)));
+  // The connection holds the handler, and the statement the connection.
+  link->Send(aCommand, [weak = std::weak_ptr(sent)](Sql::DatabaseReply aReply) {
+    if (const auto live = weak.lock())
+      live->OnReply(std::move(aReply));
+  });
+  return sent;
+}
+
+void
+SentStatement::OnReply(Sql::DatabaseReply aReply)
+{
+  isOver_ = true;
+  if (isDetached_)
+    pool_->Release(connection_,
+                   aReply.isComplete &&
+                     aReply.state == Sql::TransactionState::Idle);
+  handler_(std::move(aReply), isDetached_);
+}
+
+void
+SentStatement::Detach(Core::Scheduler& aScheduler, Core::Duration aLimit)
+{
+  isDetached_ = true;
+  aScheduler.DeferFor(aLimit, [self = shared_from_this()] {
+    if (!std::exchange(self->isOver_, true))
+      self->pool_->Release(self->connection_, false);
+  });
+}
+
+} // namespace Pooler
--- /dev/null
+++ b/Libraries/LibPooler/StatementProfile.cpp
@@ -0,0 +1,68 @@
+#include <LibPooler/StatementProfile.h>
+
+namespace Pooler {
+
+bool
+StatementProfile::IsInTransaction() const
+{
+  return context_.transaction != nullptr;
+}
+
+bool
+StatementProfile::IsFirstInTransaction() const
+{
+  return IsInTransaction() && context_.transaction->connection == nullptr;
+}
+
+bool
+StatementProfile::IsCommit() const
+{
+  return statement_.kind == Sql::StatementKind::Commit;
+}
+
+bool
+StatementProfile::IsWrite() const
+{
+  if (statement_.kind != Sql::StatementKind::Execute)
+    return statement_.kind == Sql::StatementKind::Write;
+  const auto prepared = context_.prepared.find(statement_.name);
+  return prepared != context_.prepared.end() && prepared->second.isWrite;
+}
+
+const std::string*
+StatementProfile::Shape() const
+{
+  if (statement_.kind != Sql::StatementKind::Execute)
+    return nullptr;
+  return &context_.prepared.at(statement_.name).shape;
+}
+
+RoutingNeed
+StatementProfile::Need() const
+{
+  RoutingNeed need;
+  const bool onlyReads =
+    IsInTransaction() ? context_.transaction->isReadOnly : !IsWrite();
+  need.needsPrimary =
+    !onlyReads || context_.route.consistency == Consistency::Strong;
+  need.maxStaleness = context_.route.maxStaleness;
+  if (context_.route.consistency == Consistency::ReadYourWrites)
+    need.sessionFloor = context_.floor;
+  return need;
+}
+
+StatementFacts
+StatementProfile::Facts(bool aWasSent) const
+{
+  StatementFacts facts;
+  // Before its first statement a transaction exists at no database.
+  facts.isInTransaction = IsInTransaction() && !IsFirstInTransaction();
+  facts.isCommit = IsCommit();
+  facts.isWrite = IsWrite();
+  facts.hasTransactionWritten =
+    IsInTransaction() && context_.transaction->hasWritten;
+  facts.wasSent = aWasSent;
+  return facts;
+}
+
+} // namespace Pooler
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -51,6 +51,7 @@
   , router_(aRouter)
   , context_(aContext)
   , statement_(std::move(aStatement))
+  , profile_(statement_, context_)
   , done_(std::move(aDone))
   , startedAt_(aScheduler.Now())
 {
@@ -69,89 +70,26 @@
   DropConnection();
 }
 
-bool
-StatementRun::IsInTransaction() const
-{
-  return context_.transaction != nullptr;
-}
-
-bool
-StatementRun::IsFirstInTransaction() const
-{
-  return IsInTransaction() && context_.transaction->connection == nullptr;
-}
-
 bool
 StatementRun::IsFencedRead() const
 {
-  return !IsInTransaction() && choice_.isPrimary && choice_.needsFencedRead &&
-         !IsWrite();
+  return !profile_.IsInTransaction() && choice_.isPrimary &&
+         choice_.needsFencedRead && !profile_.IsWrite();
 }
 
 bool
 StatementRun::MustBegin() const
 {
-  return IsFirstInTransaction() || IsFencedRead();
-}
-
-bool
-StatementRun::IsCommit() const
-{
-  return statement_.kind == Sql::StatementKind::Commit;
-}
-
-bool
-StatementRun::IsWrite() const
-{
-  if (statement_.kind != Sql::StatementKind::Execute)
-    return statement_.kind == Sql::StatementKind::Write;
-  const auto prepared = context_.prepared.find(statement_.name);
-  return prepared != context_.prepared.end() && prepared->second.isWrite;
-}
-
-StatementFacts
-StatementRun::Facts() const
-{
-  StatementFacts facts;
-  // Before its first statement a transaction exists at no database.
-  facts.isInTransaction = IsInTransaction() && !IsFirstInTransaction();
-  facts.isCommit = IsCommit();
-  facts.isWrite = IsWrite();
-  facts.hasTransactionWritten =
-    IsInTransaction() && context_.transaction->hasWritten;
-  facts.wasSent = phase_ == Phase::Sent;
-  return facts;
-}
-
-const std::string*
-StatementRun::Shape() const
-{
-  if (statement_.kind != Sql::StatementKind::Execute)
-    return nullptr;
-  return &context_.prepared.at(statement_.name).shape;
-}
-
-RoutingNeed
-StatementRun::Need() const
-{
-  RoutingNeed need;
-  const bool onlyReads =
-    IsInTransaction() ? context_.transaction->isReadOnly : !IsWrite();
-  need.needsPrimary =
-    !onlyReads || context_.route.consistency == Consistency::Strong;
-  need.maxStaleness = context_.route.maxStaleness;
-  if (context_.route.consistency == Consistency::ReadYourWrites)
-    need.sessionFloor = context_.floor;
-  return need;
+  return profile_.IsFirstInTransaction() || IsFencedRead();
 }
 
 void
 StatementRun::Start()
 {
-  need_ = Need();
+  need_ = profile_.Need();
   const Core::Duration limit = context_.route.statementTimeout;
   timeout_ = scheduler_.After(limit, [this] { OnTimeout(); });
-  if (IsInTransaction() && !IsFirstInTransaction()) {
+  if (profile_.IsInTransaction() && !profile_.IsFirstInTransaction()) {
     const OpenTransaction& transaction = *context_.transaction;
     choice_.pool = transaction.pool;
     choice_.isPrimary = transaction.isOnPrimary;
@@ -200,7 +138,8 @@
   const std::uint64_t ticket = choice_.pool->Acquire(
     { startedAt_ + context_.route.targetLatency,
       context_.values,
-      Shape() != nullptr ? std::optional(*Shape()) : std::nullopt,
+      profile_.Shape() != nullptr ? std::optional(*profile_.Shape())
+                                  : std::nullopt,
       need_.needsPrimary },
     Guard([this](PooledConnectionHandle aConnection, PoolRefusal) {
       poolTicket_ = 0;
@@ -224,12 +163,14 @@
 std::vector<Sql::DatabaseCommand>
 StatementRun::PreparationCommands()
 {
-  const bool isPinned = IsInTransaction() && !IsFirstInTransaction();
+  const bool isPinned =
+    profile_.IsInTransaction() && !profile_.IsFirstInTransaction();
   const bool mustProve =
     !isPinned && need_.needsPrimary && connection_->IsRested(scheduler_.Now());
-  auto commands = mustProve
-                    ? connection_->state.PrepareAnew(context_.values, Shape())
-                    : connection_->state.Prepare(context_.values, Shape());
+  auto commands =
+    mustProve
+      ? connection_->state.PrepareAnew(context_.values, profile_.Shape())
+      : connection_->state.Prepare(context_.values, profile_.Shape());
   if (!MustBegin())
     return commands;
   // At a primary even a transaction that only reads is opened for writing,
@@ -284,7 +225,7 @@
 void
 StatementRun::OnReadyToSend()
 {
-  if (IsFirstInTransaction()) {
+  if (profile_.IsFirstInTransaction()) {
     OpenTransaction& transaction = *context_.transaction;
     transaction.connection = connection_;
     transaction.pool = choice_.pool;
@@ -307,8 +248,8 @@
   if (!choice_.isPrimary)
     return true;
   // The lease for plain reads is short and may have ended during the wait.
-  const bool isPlainRead =
-    !IsInTransaction() && !IsWrite() && !choice_.needsFencedRead;
+  const bool isPlainRead = !profile_.IsInTransaction() && !profile_.IsWrite() &&
+                           !choice_.needsFencedRead;
   if (isPlainRead && !router_.Authority().HoldsForPlainReads(scheduler_.Now()))
     return false;
   return HasAuthority();
@@ -318,7 +259,7 @@
 StatementRun::SendStatement()
 {
   if (!MaySendNow()) {
-    if (IsInTransaction())
+    if (profile_.IsInTransaction())
       Fail(Sql::ErrorCode::RolledBack, "the primary is being replaced");
     else
       TryElsewhere(false, Core::Duration::zero());
@@ -329,37 +270,31 @@
   sentAt_ = scheduler_.Now();
   result_.wasSent = true;
   result_.database = choice_.pool->Info().id;
+  result_.owner = connection_->checkedOut != nullptr
+                    ? connection_->checkedOut->Owner()
+                    : std::string();
   result_.ranAtReplica = !choice_.isPrimary;
   Sql::DatabaseCommand command;
   command.requestId = statement_.requestId;
   command.kind = Sql::CommandKind::ClientStatement;
   command.text = statement_.text;
-  if (const std::string* shape = Shape()) {
+  if (const std::string* shape = profile_.Shape()) {
     command.kind = Sql::CommandKind::ClientExecute;
     command.name = connection_->state.NameOf(*shape);
     command.argument = statement_.argument;
   }
-  if (!IsInTransaction())
+  if (!profile_.IsInTransaction())
     command.atLeast = choice_.floor;
-  else if (IsWrite())
+  else if (profile_.IsWrite())
     context_.transaction->hasWritten = true;
-  attempt_ = std::make_shared<Attempt>(Attempt{ choice_.pool, connection_ });
-  connection_->link->Send(
+  sent_ = SentStatement::Send(
+    choice_.pool,
+    connection_,
     command,
-    [this, alive = alive_, weak = std::weak_ptr(attempt_)](
-      Sql::DatabaseReply aReply) {
-      // The connection holds this, and the attempt holds the connection.
-      const auto attempt = weak.lock();
-      if (attempt == nullptr)
-        return;
-      attempt->isOver = true;
-      if (attempt->isDetached)
-        attempt->pool->Release(attempt->connection,
-                               aReply.isComplete &&
-                                 aReply.state == Sql::TransactionState::Idle);
+    [this, alive = alive_](Sql::DatabaseReply aReply, bool aIsDetached) {
       if (!*alive)
         return;
-      if (attempt->isDetached)
+      if (aIsDetached)
         OnDetachedReply(std::move(aReply));
       else
         OnReply(std::move(aReply));
@@ -370,7 +305,7 @@
 void
 StatementRun::PlanHedge()
 {
-  const bool mayHedge = !IsInTransaction() && !need_.needsPrimary &&
+  const bool mayHedge = !profile_.IsInTransaction() && !need_.needsPrimary &&
                         result_.attempts < kMaxAttempts && !IsFencedRead();
   if (!mayHedge)
     return;
@@ -394,13 +329,8 @@
 {
   hedge_.reset();
   connection_.reset();
-  attempt_->isDetached = true;
-  scheduler_.DeferFor(context_.route.statementTimeout,
-                      [attempt = std::move(attempt_)] {
-                        if (std::exchange(attempt->isOver, true))
-                          return;
-                        attempt->pool->Release(attempt->connection, false);
-                      });
+  std::exchange(sent_, nullptr)
+    ->Detach(scheduler_, context_.route.statementTimeout);
 }
 
 void
@@ -426,9 +356,10 @@
     return;
   choice_.pool->RecordPosition(*aReply.position);
   // A former primary answers plain reads, and commits of nothing, as before.
-  const bool isCommitOfNothing = IsCommit() && !MayChangeData(Facts());
-  const bool isRefusedByFormer = IsInTransaction() || IsWrite() ||
-                                 IsFencedRead() || !choice_.needsFencedRead;
+  const bool isCommitOfNothing = profile_.IsCommit() && !MayChangeData(Facts());
+  const bool isRefusedByFormer = profile_.IsInTransaction() ||
+                                 profile_.IsWrite() || IsFencedRead() ||
+                                 !choice_.needsFencedRead;
   if (choice_.isPrimary && isRefusedByFormer && !isCommitOfNothing)
     router_.AddSample(sentAt_, *aReply.position);
 }
@@ -459,7 +390,7 @@
 void
 StatementRun::OnFormerPrimary()
 {
-  if (IsInTransaction()) {
+  if (profile_.IsInTransaction()) {
     RollBack();
     Fail(Sql::ErrorCode::RolledBack, "the primary has been replaced");
     return;
@@ -474,7 +405,8 @@
 void
 StatementRun::OnSuccess(Sql::DatabaseReply aReply)
 {
-  const bool endsTransaction = IsInTransaction() && IsCommit();
+  const bool endsTransaction =
+    profile_.IsInTransaction() && profile_.IsCommit();
   const bool mayChangeData = MayChangeData(Facts());
   if (mayChangeData && !HasAuthority()) {
     // Another primary may have been promoted without this write.
@@ -486,12 +418,12 @@
     result_.written = aReply.position;
   result_.rows = std::move(aReply.rows);
   result_.signature = std::move(aReply.signature);
-  const auto expected = IsInTransaction() && !endsTransaction
+  const auto expected = profile_.IsInTransaction() && !endsTransaction
                           ? Sql::TransactionState::Open
                           : Sql::TransactionState::Idle;
   if (IsFencedRead())
     choice_.pool->RollBackAndRelease(std::exchange(connection_, nullptr));
-  else if (!IsInTransaction() || endsTransaction)
+  else if (!profile_.IsInTransaction() || endsTransaction)
     ReturnConnection(aReply.state == expected);
   Finish();
 }
@@ -502,7 +434,7 @@
   const Sql::ErrorCode code = aReply.error->code;
   if (aReply.position && !choice_.isPrimary)
     choice_.pool->RecordPosition(*aReply.position);
-  if (IsInTransaction() && !IsFirstInTransaction()) {
+  if (profile_.IsInTransaction() && !profile_.IsFirstInTransaction()) {
     OnErrorInTransaction(aReply);
     return;
   }
@@ -616,7 +548,7 @@
   const PooledConnectionHandle connection = std::exchange(connection_, nullptr);
   if (connection == nullptr)
     return;
-  if (IsInTransaction())
+  if (profile_.IsInTransaction())
     context_.transaction->connection = nullptr;
   choice_.pool->Release(connection, aIsClean);
 }
--- a/Libraries/LibPooler/include/LibPooler/Checkout.h
+++ b/Libraries/LibPooler/include/LibPooler/Checkout.h
@@ -128,6 +128,8 @@
 public:
   /** Gives it back; destroying it without this drops the connection. */
   virtual void Return(const CheckoutReturn& aReturn) = 0;
+  /** The node that has it, as its member's key. */
+  virtual const std::string& Owner() const = 0;
 };
 
 } // namespace Pooler
--- a/Libraries/LibPooler/include/LibPooler/CheckoutSession.h
+++ b/Libraries/LibPooler/include/LibPooler/CheckoutSession.h
@@ -21,6 +21,8 @@
     const std::string& aDatabase) const = 0;
   /** A connection that is checked out and unused for longer is taken back. */
   virtual Core::Duration CheckoutIdleLimit() const = 0;
+  /** No node waits longer than this for an answer of a database. */
+  virtual Core::Duration CheckoutAnswerLimit() const = 0;
 };
 
 /**
@@ -51,7 +53,7 @@
   void Refuse(CheckoutRefusal aRefusal);
   void OnReply(const Sql::DatabaseReply& aReply);
   void GiveBack(bool aIsClean);
-  void WatchIdleness();
+  void TakeBackAfter(Core::Duration aLimit);
 
   Core::Scheduler& scheduler_;
   CheckoutHost& host_;
@@ -65,7 +67,7 @@
   int unanswered_ = 0;
   std::shared_ptr<void> batch_;
   Core::TimerHandle waiting_;
-  Core::TimerHandle idle_;
+  Core::TimerHandle limit_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/Libraries/LibPooler/include/LibPooler/GroupRouter.h
+++ b/Libraries/LibPooler/include/LibPooler/GroupRouter.h
@@ -57,6 +57,7 @@
   void SetDatabases(const std::vector<Database>& aDatabases);
   /** 0: the connections are other nodes'. */
   void SetConnectionLimit(int aLimit);
+  int ConnectionLimit() const { return connectionLimit_; }
 
   void ObserveRecord(const Authority::GroupRecord& aRecord,
                      Core::Instant aAskedAt);
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -24,6 +24,10 @@
 class Membership
 {
 public:
+  /** Whoever isn't heard within this is silent; heartbeats come each 300 ms. */
+  static constexpr Core::Duration kHolderSilence =
+    std::chrono::milliseconds(700);
+
   Membership(Core::Scheduler& aScheduler,
              Authority::CoordinationStore& aStore,
              PeerLink& aPeers,
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -109,6 +109,7 @@
   std::optional<RelayedSample> NewestSample(
     const std::string& aDatabase) const override;
   Core::Duration CheckoutIdleLimit() const override;
+  Core::Duration CheckoutAnswerLimit() const override;
 
   const std::string& MemberKey() const override { return memberKey_; }
   HeartbeatAnswer OnHeartbeat(const Heartbeat& aHeartbeat) override;
@@ -150,6 +151,8 @@
   FailoverDuty duty_;
   RemotePools remotePools_;
   Configuration configuration_;
+  /** The longest time that any of its routes gives a statement. */
+  Core::Duration longestStatement_{ 0 };
   DatabaseList databases_;
   RowFeeds* feeds_ = nullptr;
   /** When the duty's holder last answered for the state of the store. */
--- a/Libraries/LibPooler/include/LibPooler/PoolOwners.h
+++ b/Libraries/LibPooler/include/LibPooler/PoolOwners.h
@@ -22,4 +22,28 @@
          const std::vector<Member>& aPresent,
          int aUsable);
 
+/** What one member may do with a group's connections. */
+struct ConnectionShare
+{
+  /**
+   * How many it may open to each database; 0: it uses those of the owners. The
+   * shares of all members add up to what all may open together, unless that is
+   * less than one for each sharer.
+   */
+  int connections = 0;
+  /** Empty: every member opens its own. */
+  std::vector<Member> owners{};
+};
+
+/**
+ * The share of the member aKey. What doesn't divide evenly goes to other
+ * members for another aTurn, so that it isn't the same ones for all groups.
+ */
+ConnectionShare
+ShareOf(const std::string& aGroup,
+        const std::vector<Member>& aPresent,
+        const std::string& aKey,
+        int aUsable,
+        std::size_t aTurn);
+
 } // namespace Pooler
--- a/Libraries/LibPooler/include/LibPooler/RemotePools.h
+++ b/Libraries/LibPooler/include/LibPooler/RemotePools.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <LibCore/Scheduler.h>
+#include <LibMetrics/Metrics.h>
 #include <LibPooler/Checkout.h>
+#include <LibPooler/Log.h>
 #include <LibPooler/Peers.h>
 
 #include <functional>
@@ -16,6 +18,23 @@
 
 class RemoteChannel;
 
+/** Why an owner of connections is left alone for a while. */
+enum class OwnerTrouble
+{
+  /** It says nothing, though it should say that a request still waits. */
+  Silent,
+  /** The channel to it broke or couldn't be made. */
+  Closed,
+  /** It says that it owns no connections to the database. */
+  NotOwner,
+};
+
+inline constexpr Core::EnumNames<OwnerTrouble, 3> kOwnerTroubleNames{ {
+  { { OwnerTrouble::Silent, "silent" },
+    { OwnerTrouble::Closed, "closed" },
+    { OwnerTrouble::NotOwner, "not_owner" } },
+} };
+
 /** How a checkout at another node ended. */
 struct CheckoutOutcome
 {
@@ -38,7 +57,9 @@
 
   RemotePools(Core::Scheduler& aScheduler,
               CheckoutDialer& aDialer,
-              std::string aDataCentre);
+              std::string aDataCentre,
+              Metrics::Registry& aMetrics,
+              LogSink aLog);
   ~RemotePools();
   RemotePools(const RemotePools&) = delete;
   RemotePools& operator=(const RemotePools&) = delete;
@@ -68,7 +89,8 @@
   {
     std::string group;
     CheckoutRequest request;
-    Core::Instant due;
+    Core::Instant since{};
+    Core::Instant due{};
     Core::Instant askedAt{};
     Handler done;
     std::function<void()> onLost;
@@ -99,7 +121,7 @@
   void OnGrant(std::uint64_t aTicket, const CheckoutGrant& aGrant);
   /** The owner gave nothing; another one is asked, if there is one. */
   void AskNext(std::uint64_t aTicket);
-  void Suspect(const std::string& aKey);
+  void Suspect(const std::string& aKey, OwnerTrouble aTrouble);
   void Heard(const std::string& aKey);
   void Rest(const ChannelHandle& aChannel);
   void Drop(RemoteChannel& aChannel);
@@ -107,6 +129,8 @@
   Core::Scheduler& scheduler_;
   CheckoutDialer& dialer_;
   std::string dataCentre_;
+  Metrics::Registry& metrics_;
+  LogSink log_;
   std::map<std::string, std::vector<Member>> owners_;
   std::map<std::string, Owner> known_;
   std::map<std::uint64_t, Wait> waits_;
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -2,8 +2,8 @@
 
 #include <LibPooler/CommandBatch.h>
 #include <LibPooler/GroupRouter.h>
-#include <LibPooler/SessionValues.h>
-#include <LibPooler/StatementRules.h>
+#include <LibPooler/SentStatement.h>
+#include <LibPooler/StatementProfile.h>
 #include <LibSql/Statement.h>
 
 #include <functional>
@@ -13,18 +13,6 @@
 
 namespace Pooler {
 
-/** A transaction's hold on one connection to one database. */
-struct OpenTransaction
-{
-  bool isReadOnly = false;
-  /** Null until its first statement has opened it at a database. */
-  PooledConnectionHandle connection;
-  std::shared_ptr<ConnectionPool> pool;
-  bool isOnPrimary = false;
-  Session::Term term = 0;
-  bool hasWritten = false;
-};
-
 /** What a statement came to. */
 struct StatementResult
 {
@@ -35,6 +23,8 @@
   std::optional<Session::LogPosition> written;
   /** How it was run, for the log and the counters. */
   std::string database;
+  /** The member whose connection it used; empty: this node's own. */
+  std::string owner;
   bool ranAtReplica = false;
   bool wasSent = false;
   int attempts = 0;
@@ -46,17 +36,6 @@
   std::optional<Core::Duration> authorityAge;
 };
 
-/** What a run needs to know of the session that it belongs to. */
-struct StatementContext
-{
-  const Route& route;
-  const Values& values;
-  const PreparedStatements& prepared;
-  std::optional<Session::LogPosition> floor;
-  /** Null outside a transaction. */
-  OpenTransaction* transaction = nullptr;
-};
-
 /**
  * Brings one statement of a client to one database and back: chooses the
  * database, gets a connection, brings it into the session's state, sends the
@@ -94,27 +73,11 @@
     Sent,
   };
 
-  /** A statement that a database has, and the connection that carries it. */
-  struct Attempt
-  {
-    std::shared_ptr<ConnectionPool> pool;
-    PooledConnectionHandle connection;
-    /** Another database has been asked meanwhile. */
-    bool isDetached = false;
-    bool isOver = false;
-  };
-
   /** A single read runs in a transaction of our own, to be rolled back. */
   bool IsFencedRead() const;
-  bool IsFirstInTransaction() const;
+  StatementFacts Facts() const { return profile_.Facts(phase_ == Phase::Sent); }
   /** The connection must open a transaction before the statement. */
   bool MustBegin() const;
-  bool IsInTransaction() const;
-  bool IsCommit() const;
-  bool IsWrite() const;
-  StatementFacts Facts() const;
-  RoutingNeed Need() const;
-  const std::string* Shape() const;
 
   void Choose();
   void AwaitChange();
@@ -156,6 +119,7 @@
   GroupRouter& router_;
   StatementContext context_;
   Sql::Statement statement_;
+  StatementProfile profile_;
   Handler done_;
   StatementResult result_;
   Phase phase_ = Phase::AwaitingChoice;
@@ -164,7 +128,7 @@
   RoutingNeed need_;
   RoutingChoice choice_;
   PooledConnectionHandle connection_;
-  std::shared_ptr<Attempt> attempt_;
+  std::shared_ptr<SentStatement> sent_;
   std::shared_ptr<void> preparation_;
   std::uint64_t poolTicket_ = 0;
   std::uint64_t changeTicket_ = 0;
--- a/Tests/LibPooler/FakeOwners.h
+++ b/Tests/LibPooler/FakeOwners.h
@@ -31,7 +31,10 @@
   Core::Duration CheckoutIdleLimit() const override { return idleLimit; }
 
   std::map<std::string, std::shared_ptr<Pooler::ConnectionPool>> pools;
+  Core::Duration CheckoutAnswerLimit() const override { return answerLimit; }
+
   Core::Duration idleLimit = std::chrono::seconds(5);
+  Core::Duration answerLimit = std::chrono::seconds(10);
   std::optional<Pooler::RelayedSample> sample;
   /** Neither takes messages nor sends any; its connections stay open. */
   bool isFrozen = false;
--- a/Tests/LibPooler/TestCheckout.cpp
+++ b/Tests/LibPooler/TestCheckout.cpp
@@ -1,15 +1,14 @@
 #define BOOST_TEST_MODULE Checkout
 #include <boost/test/unit_test.hpp>
 
-#include "FakeDatabases.h"
 #include "FakeOwners.h"
+#include "PoolFixture.h"
 
 #include <LibPooler/ConnectionPool.h>
 
 using namespace std::chrono_literals;
 using Pooler::ConnectionPool;
 using Pooler::PooledConnectionHandle;
-using Pooler::PoolRefusal;
 
 namespace {
 
@@ -17,16 +16,14 @@
  * Two nodes, "near" and "far", own two connections each to the database "p".
  * The pool under test belongs to a third node, which owns none.
  */
-class Fixture
+class Fixture : public Fakes::PoolFixture
 {
 public:
   Fixture()
-    : databases(time)
-    , owners(time)
-    , remote(time, owners, "dc")
+    : owners(time)
+    , remote(time, owners, "dc", metrics, Sink())
     , pool(time, databases, Listed(), &remote)
   {
-    databases.Add("p", true);
     AddOwner("near");
     AddOwner("far");
     remote.SetOwners("g",
@@ -34,18 +31,15 @@
                        Fakes::FakeOwners::MemberOf("near") });
     pool.SetLimit(0);
   }
-  ~Fixture()
-  {
-    held.clear();
-    time.Close();
-  }
+  ~Fixture() { End(); }
+  Fixture(const Fixture&) = delete;
+  Fixture& operator=(const Fixture&) = delete;
 
-  static Pooler::Database Listed()
+  Pooler::LogSink Sink()
   {
-    Pooler::Database database;
-    database.id = "p";
-    database.group = "g";
-    return database;
+    return [this](std::string_view aWhat, const boost::json::object&) {
+      logged.emplace_back(aWhat);
+    };
   }
   void AddOwner(const std::string& aName)
   {
@@ -57,27 +51,15 @@
   {
     return *owners.Add(aName).pools.at("p");
   }
-  void Pass(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
-
   std::uint64_t Want(const std::string& aName,
                      Core::Duration aDueIn = 200ms,
                      const Pooler::Values& aValues = {},
                      const std::optional<std::string>& aShape = std::nullopt)
   {
-    return pool.Acquire(
-      { time.Now() + aDueIn, aValues, aShape },
-      [this, aName](PooledConnectionHandle aConnection, PoolRefusal) {
-        served.push_back(aConnection != nullptr ? aName : aName + " refused");
-        if (aConnection != nullptr)
-          held.push_back(std::move(aConnection));
-      });
-  }
-  void GiveBack(bool aIsClean = true)
-  {
-    const PooledConnectionHandle connection = held.front();
-    held.erase(held.begin());
-    pool.Release(connection, aIsClean);
+    return PoolFixture::Want(
+      pool, aName, { time.Now() + aDueIn, aValues, aShape });
   }
+  void GiveBack(bool aIsClean = true) { PoolFixture::GiveBack(pool, aIsClean); }
   /** Runs a client's statement on what is held first. */
   void Run(const std::string& aRequest)
   {
@@ -90,13 +72,11 @@
     });
   }
 
-  Simulation::VirtualTime time;
-  Fakes::FakeDatabases databases;
   Fakes::FakeOwners owners;
+  Metrics::Registry metrics;
+  std::vector<std::string> logged;
   Pooler::RemotePools remote;
   ConnectionPool pool;
-  std::vector<PooledConnectionHandle> held;
-  std::vector<std::string> served;
   std::vector<Sql::DatabaseReply> replies;
 };
 
@@ -233,6 +213,8 @@
   BOOST_REQUIRE(served.size() == 1U);
   BOOST_TEST(served.front() == "a");
   BOOST_TEST(PoolAt("far").InUse() == 1);
+  BOOST_TEST(logged.size() == 1U);
+  BOOST_TEST(logged.front() == "owner_suspected");
   // The next one doesn't wait for the silent one at all.
   Want("b");
   Pass(50ms);
@@ -288,6 +270,21 @@
   BOOST_TEST(held.front()->isLost);
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerThatNeverComesDoesNotKeepAConnection)
+{
+  owners.Add("near").answerLimit = 2s;
+  Want("a");
+  Pass(50ms);
+  databases.At("p").isDark = true;
+  Run("r1");
+  Pass(1900ms);
+  BOOST_TEST(PoolAt("near").InUse() == 1);
+  Pass(200ms);
+  BOOST_TEST(PoolAt("near").InUse() == 0);
+  BOOST_REQUIRE(replies.size() == 1U);
+  BOOST_TEST(!replies.front().isComplete);
+}
+
 BOOST_AUTO_TEST_CASE(ASampleComesAlongAndIsNotTakenForYoungerThanItIs)
 {
   std::optional<Core::Instant> sentAt;
@@ -343,8 +340,8 @@
   std::vector<std::unique_ptr<Pooler::RemotePools>> remotes;
   std::vector<std::unique_ptr<ConnectionPool>> pools;
   for (int i = 0; i < kNodes; ++i) {
-    remotes.push_back(
-      std::make_unique<Pooler::RemotePools>(time, owners, "dc"));
+    remotes.push_back(std::make_unique<Pooler::RemotePools>(
+      time, owners, "dc", metrics, Sink()));
     remotes.back()->SetOwners("g",
                               { Fakes::FakeOwners::MemberOf("near"),
                                 Fakes::FakeOwners::MemberOf("far") });
--- a/Tests/LibPooler/TestConnectionPool.cpp
+++ b/Tests/LibPooler/TestConnectionPool.cpp
@@ -1,9 +1,8 @@
 #define BOOST_TEST_MODULE ConnectionPool
 #include <boost/test/unit_test.hpp>
 
-#include "FakeDatabases.h"
+#include "PoolFixture.h"
 
-#include <LibPooler/ConnectionPool.h>
 #include <LibPooler/DatabaseDirectory.h>
 
 using namespace std::chrono_literals;
@@ -13,56 +12,25 @@
 
 namespace {
 
-class Fixture
+class Fixture : public Fakes::PoolFixture
 {
 public:
   Fixture()
-    : databases(time)
-    , pool(time, databases, Listed())
+    : pool(time, databases, Listed())
   {
-    databases.Add("p", true);
     pool.SetLimit(1);
   }
-  ~Fixture()
-  {
-    held.clear();
-    time.Close();
-  }
-
-  static Pooler::Database Listed()
-  {
-    Pooler::Database database;
-    database.id = "p";
-    database.group = "g";
-    return database;
-  }
-  void Pass(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
+  ~Fixture() { End(); }
+  Fixture(const Fixture&) = delete;
+  Fixture& operator=(const Fixture&) = delete;
 
-  /** Waits for a connection and notes aName when it is given. */
   std::uint64_t Want(const std::string& aName, Core::Duration aDueIn)
   {
-    return pool.Acquire(
-      { time.Now() + aDueIn },
-      [this, aName](PooledConnectionHandle aConnection, PoolRefusal aRefusal) {
-        served.push_back(aConnection != nullptr ? aName : aName + " refused");
-        refusals.push_back(aRefusal);
-        if (aConnection != nullptr)
-          held.push_back(std::move(aConnection));
-      });
-  }
-  void GiveBack(bool aIsClean = true)
-  {
-    const PooledConnectionHandle connection = held.front();
-    held.erase(held.begin());
-    pool.Release(connection, aIsClean);
+    return PoolFixture::Want(pool, aName, { time.Now() + aDueIn });
   }
+  void GiveBack(bool aIsClean = true) { PoolFixture::GiveBack(pool, aIsClean); }
 
-  Simulation::VirtualTime time;
-  Fakes::FakeDatabases databases;
   ConnectionPool pool;
-  std::vector<PooledConnectionHandle> held;
-  std::vector<std::string> served;
-  std::vector<PoolRefusal> refusals;
 };
 
 const std::vector<std::string> kNobody;
--- a/Tests/LibPooler/TestPoolOwners.cpp
+++ b/Tests/LibPooler/TestPoolOwners.cpp
@@ -142,3 +142,49 @@
   BOOST_TEST(strong > all * 4 / 10);
   BOOST_TEST(strong < all * 6 / 10);
 }
+
+struct ShareCase
+{
+  int members;
+  int usable;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const ShareCase& aCase)
+{
+  return aStream << aCase.members << " members, " << aCase.usable
+                 << " connections";
+}
+
+const std::vector<ShareCase> kShares{ { 1, 20 },  { 7, 21 },   { 9, 23 },
+                                      { 78, 37 }, { 69, 105 }, { 200, 300 } };
+
+BOOST_DATA_TEST_CASE(SharesAddUpToWhatIsUsable, kShares, aCase)
+{
+  const auto members = Fleet(aCase.members, std::min(aCase.members, 4));
+  for (std::size_t turn = 0; turn < 5; ++turn) {
+    int all = 0;
+    for (const Member& member : members)
+      all += Pooler::ShareOf("g", members, member.Key(), aCase.usable, turn)
+               .connections;
+    BOOST_TEST(all == aCase.usable);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WhoOwnsNothingKnowsTheOwners)
+{
+  const auto members = Fleet(78, 4);
+  const auto owners = NamesOf(OwnersOf("g", members, 37));
+  for (const Member& member : members) {
+    const auto share = Pooler::ShareOf("g", members, member.Key(), 37, 0);
+    BOOST_TEST((NamesOf(share.owners) == owners));
+    BOOST_TEST((share.connections > 0) == owners.contains(member.name));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WhoSeesNobodyOpensItsOwn)
+{
+  const auto share = Pooler::ShareOf("g", {}, "me#1", 37, 0);
+  BOOST_TEST(share.connections == 37);
+  BOOST_TEST(share.owners.empty());
+}
