Services/Node: Let settings ask for any free port, and tell which it is

The test looked for a free port, closed it and named it in the settings; ports of that range are also handed out to outgoing connections, of this test's own stand-ins and of the tests beside it, so now and then one is taken in between.

Change: a node listens first and makes known what it really listens on, so that port 0 in the settings means any free port; the test asks for it and reads the address back. Nothing is looked for and closed any more. Member's three addresses became MemberAddresses.

Other uses of chosen ports lie below the range that the system hands out.

--- a/Libraries/LibPeers/PeerClient.cpp
+++ b/Libraries/LibPeers/PeerClient.cpp
@@ -76,7 +76,7 @@
   call.body = boost::json::serialize(aBody);
   call.timeout = kCallTimeout;
   client_.Call(
-    aMember.address,
+    aMember.addresses.peers,
     call,
     [key = aMember.Key(),
      done = std::move(aDone)](const Wire::HttpOutcome& aOutcome) {
--- a/Libraries/LibPooler/MemberRoster.cpp
+++ b/Libraries/LibPooler/MemberRoster.cpp
@@ -7,14 +7,16 @@
 Authority::StoredRow
 MemberRoster::RowOf(const Member& aMember)
 {
-  const boost::json::object json{ { "name", aMember.name },
-                                  { "incarnation", aMember.incarnation },
-                                  { "data_centre", aMember.dataCentre },
-                                  { "address", aMember.address.ToText() },
-                                  { "relay", aMember.relay.ToText() },
-                                  { "checkouts", aMember.checkouts.ToText() },
-                                  { "processors", aMember.processors },
-                                  { "expelled", aMember.isExpelled } };
+  const boost::json::object json{
+    { "name", aMember.name },
+    { "incarnation", aMember.incarnation },
+    { "data_centre", aMember.dataCentre },
+    { "address", aMember.addresses.peers.ToText() },
+    { "relay", aMember.addresses.relay.ToText() },
+    { "checkouts", aMember.addresses.checkouts.ToText() },
+    { "processors", aMember.processors },
+    { "expelled", aMember.isExpelled }
+  };
   return { std::string(kKeyPrefix) + aMember.Key(),
            boost::json::serialize(json),
            aMember.version };
@@ -37,18 +39,16 @@
     member.incarnation = fields.at("incarnation").as_string();
     member.dataCentre = fields.at("data_centre").as_string();
     member.isExpelled = fields.at("expelled").as_bool();
-    const auto address = Wire::Address::Parse(
+    const auto peers = Wire::Address::Parse(
       std::string(fields.at("address").as_string()), aReason);
     const auto relay = Wire::Address::Parse(
       std::string(fields.at("relay").as_string()), aReason);
     const auto checkouts = Wire::Address::Parse(
       std::string(fields.at("checkouts").as_string()), aReason);
-    if (!address || !relay || !checkouts)
+    if (!peers || !relay || !checkouts)
       return false;
     member.processors = fields.at("processors").to_number<double>();
-    member.checkouts = *checkouts;
-    member.address = *address;
-    member.relay = *relay;
+    member.addresses = { *peers, *relay, *checkouts };
   } catch (const std::exception& error) {
     aReason.Set("the member " + key + " can't be read: " + error.what());
     return false;
--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -41,6 +41,12 @@
   *alive_ = false;
 }
 
+void
+Membership::SetAddresses(MemberAddresses aAddresses)
+{
+  self_.addresses = std::move(aAddresses);
+}
+
 void
 Membership::Register(std::function<void()> aDone)
 {
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -79,6 +79,12 @@
 
 Node::~Node() = default;
 
+void
+Node::SetAddresses(MemberAddresses aAddresses)
+{
+  membership_.SetAddresses(std::move(aAddresses));
+}
+
 void
 Node::Register(std::function<void()> aDone)
 {
@@ -240,7 +246,7 @@
   std::vector<Wire::Address> relays;
   for (const Member& member : membership_.Roster().Present()) {
     if (member.Key() != memberKey_)
-      relays.push_back(member.relay);
+      relays.push_back(member.addresses.relay);
   }
   links_.relays.SetRelays(std::move(relays));
 }
--- a/Libraries/LibPooler/RemotePools.cpp
+++ b/Libraries/LibPooler/RemotePools.cpp
@@ -337,7 +337,7 @@
   }
   ChannelHandle channel = std::make_shared<RemoteChannel>(*this, key);
   channels_.insert(channel);
-  channel->Open(dialer_, aOwner.checkouts);
+  channel->Open(dialer_, aOwner.addresses.checkouts);
   return channel;
 }
 
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -36,6 +36,9 @@
              LogSink aLog);
   ~Membership();
 
+  /** Where others reach this process; to be called before it registers. */
+  void SetAddresses(MemberAddresses aAddresses);
+
   /** Writes this process's row, as often as needed; aDone runs once. */
   void Register(std::function<void()> aDone);
 
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -22,7 +22,7 @@
 
 struct NodeSettings
 {
-  /** This process, as its peers see it. */
+  /** This process, as its peers see it, but for its addresses. */
   Member self;
   Authority::AuthorityLease authorityLease;
   FailoverDuty::Settings duty;
@@ -70,6 +70,9 @@
        LogSink aLog);
   ~Node() override;
 
+  /** Where others reach this node; to be called before it registers. */
+  void SetAddresses(MemberAddresses aAddresses);
+
   /** Takes part in the system; aDone runs once it does. */
   void Register(std::function<void()> aDone);
 
--- a/Libraries/LibPooler/include/LibPooler/Peers.h
+++ b/Libraries/LibPooler/include/LibPooler/Peers.h
@@ -13,6 +13,17 @@
 
 namespace Pooler {
 
+/** Where other processes of the system reach one. */
+struct MemberAddresses
+{
+  /** Answers heartbeats and questions of its peers. */
+  Wire::Address peers;
+  /** Passes connections on to databases. */
+  Wire::Address relay;
+  /** Lets others use its connections to databases. */
+  Wire::Address checkouts;
+};
+
 /** A process of the system, as its row in the store names it. */
 struct Member
 {
@@ -20,12 +31,7 @@
   /** Tells the processes of one VM apart. */
   std::string incarnation;
   std::string dataCentre;
-  /** Where it answers its peers. */
-  Wire::Address address;
-  /** Where it passes connections on to databases. */
-  Wire::Address relay;
-  /** Where it lets others use its connections to databases. */
-  Wire::Address checkouts;
+  MemberAddresses addresses;
   /** The processor time that it may use, in cores. */
   double processors = 1;
   /** It is taken to be gone, though its authority may not have ended yet. */
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -51,7 +51,7 @@
   if (!aSettings.Text("listen.checkouts").empty())
     return aSettings.Address("listen.checkouts");
   Wire::Address address = aSettings.Address("listen.peers");
-  // Port 0 stands for any free port.
+  // Port 0 stands for any free port, here as in the settings.
   if (address.port != 0)
     ++address.port;
   return address;
@@ -65,9 +65,6 @@
   result.self.name = aSettings.Text("node.name");
   result.self.dataCentre = aSettings.Text("node.data_centre");
   result.self.incarnation = Core::Random::FromSystem().Hex(kIncarnationDigits);
-  result.self.address = aSettings.Address("listen.peers");
-  result.self.relay = aSettings.Address("listen.relay");
-  result.self.checkouts = CheckoutAddress(aSettings);
   result.self.processors = aSettings.Decimal("node.processors");
   result.authorityLease.fenced =
     milliseconds(aSettings.Integer("authority.lease_ms"));
@@ -142,24 +139,26 @@
     });
 }
 
-bool
-NodeServer::Listen(Wire::HttpServer& aServer,
-                   const Wire::Address& aAddress,
-                   Core::LastReason& aReason)
-{
-  return aServer.Listen(aAddress, aReason).has_value();
-}
-
 bool
 NodeServer::Start(Core::LastReason& aReason)
 {
-  if (!peerServer_.Listen(settings_.Address("listen.peers"), aReason) ||
-      !relayServer_.Listen(settings_.Address("listen.relay"), aReason) ||
-      !checkoutServer_.Listen(CheckoutAddress(settings_), aReason) ||
-      !door_.Listen(settings_.Address("listen.clients"), aReason) ||
-      !Listen(readiness_, settings_.Address("listen.readiness"), aReason) ||
-      !Listen(metricsServer_, settings_.Address("listen.metrics"), aReason))
+  const auto peers =
+    peerServer_.Listen(settings_.Address("listen.peers"), aReason);
+  const auto relay =
+    relayServer_.Listen(settings_.Address("listen.relay"), aReason);
+  const auto checkouts =
+    checkoutServer_.Listen(CheckoutAddress(settings_), aReason);
+  const auto clients =
+    door_.Listen(settings_.Address("listen.clients"), aReason);
+  const auto readiness =
+    readiness_.Listen(settings_.Address("listen.readiness"), aReason);
+  const auto metrics =
+    metricsServer_.Listen(settings_.Address("listen.metrics"), aReason);
+  if (!peers || !relay || !checkouts || !clients || !readiness || !metrics)
     return false;
+  clientAddress_ = *clients;
+  readinessAddress_ = *readiness;
+  node_.SetAddresses({ *peers, *relay, *checkouts });
   feeds_.Start();
   return true;
 }
--- a/Services/Node/NodeServer.h
+++ b/Services/Node/NodeServer.h
@@ -23,13 +23,15 @@
   /** Listens and begins to learn about the fleet. */
   bool Start(Core::LastReason& aReason);
 
+  /** Where clients connect, once started; the port is never 0. */
+  const Wire::Address& ClientAddress() const { return clientAddress_; }
+  /** Where the balancer asks, once started. */
+  const Wire::Address& ReadinessAddress() const { return readinessAddress_; }
+
   /** Sends clients elsewhere, lets transactions end, and then ends the loop. */
   void Stop();
 
 private:
-  bool Listen(Wire::HttpServer& aServer,
-              const Wire::Address& aAddress,
-              Core::LastReason& aReason);
   void AddRoutes();
   void ContinueStop();
   void FinishStop();
@@ -51,6 +53,8 @@
   Peers::CheckoutServer checkoutServer_;
   Wire::HttpServer readiness_;
   Wire::HttpServer metricsServer_;
+  Wire::Address clientAddress_;
+  Wire::Address readinessAddress_;
   Core::Instant stopBegan_{};
   Core::TimerHandle stopTimer_;
 };
--- a/Tests/LibPooler/FakeOwners.cpp
+++ b/Tests/LibPooler/FakeOwners.cpp
@@ -138,7 +138,7 @@
   member.name = aName;
   member.incarnation = std::string(1, '1');
   member.dataCentre = aDataCentre;
-  member.checkouts = { aName, 1 };
+  member.addresses.checkouts = { aName, 1 };
   return member;
 }
 
--- a/Tests/LibPooler/TestMembership.cpp
+++ b/Tests/LibPooler/TestMembership.cpp
@@ -25,9 +25,9 @@
   member.name = aName;
   member.incarnation = aIncarnation;
   member.dataCentre = "dc";
-  member.address = { "127.0.0.1", 1 };
-  member.relay = { "127.0.0.1", 2 };
-  member.checkouts = { "127.0.0.1", 3 };
+  member.addresses = { { "127.0.0.1", 1 },
+                       { "127.0.0.1", 2 },
+                       { "127.0.0.1", 3 } };
   return member;
 }
 
--- a/Tests/LibPooler/TestNode.cpp
+++ b/Tests/LibPooler/TestNode.cpp
@@ -46,9 +46,9 @@
     Pooler::NodeSettings settings;
     settings.self.name = "me";
     settings.self.incarnation = "1";
-    settings.self.address = { "127.0.0.1", 1 };
-    settings.self.relay = { "127.0.0.1", 2 };
-    settings.self.checkouts = { "127.0.0.1", 3 };
+    settings.self.addresses = { { "127.0.0.1", 1 },
+                                { "127.0.0.1", 2 },
+                                { "127.0.0.1", 3 } };
     settings.authorityLease = kLease;
     settings.duty.lease = { 1600ms, 200ms, 500ms };
     settings.duty.supervisor.authorityLease = kLease;
--- a/Tests/Platform/TestNodeOnLoopback.cpp
+++ b/Tests/Platform/TestNodeOnLoopback.cpp
@@ -16,15 +16,6 @@
 /** Far longer than anything here takes; a failure, not a measure. */
 constexpr Core::Duration kPatience = 20s;
 
-/** A port that nobody listens on; it may be taken by the time it is used. */
-std::uint16_t
-FreePort(Core::Loop& aLoop)
-{
-  Wire::LineServer server(aLoop, [](int) {});
-  Core::LastReason reason;
-  return server.Listen({ "127.0.0.1", 0 }, reason).value().port;
-}
-
 /** A client's session; collects the lines that come. */
 class Client final : public Wire::LineListener
 {
@@ -104,15 +95,12 @@
 
   std::unique_ptr<NodeServer> StartNode(const std::string& aName)
   {
-    const auto address = [this] {
-      return "127.0.0.1:" + std::to_string(FreePort(loop));
-    };
-    const std::string clientsAt = address();
+    const std::string address = "127.0.0.1:0";
     const std::string text =
       "[node]\nname = " + aName +
-      "\ndata_centre = z\n[listen]\nclients = " + clientsAt +
-      "\nreadiness = " + address() + "\nmetrics = " + address() +
-      "\npeers = " + address() + "\nrelay = " + address() +
+      "\ndata_centre = z\n[listen]\nclients = " + address +
+      "\nreadiness = " + address + "\nmetrics = " + address +
+      "\npeers = " + address + "\nrelay = " + address +
       "\n[platform]\nstore = " + storeAddress.ToText() +
       "\npromotions = " + storeAddress.ToText() +
       "\n[authority]\nlease_ms = 3000\n";
@@ -123,8 +111,6 @@
     auto node = std::make_unique<NodeServer>(loop, *settings);
     Core::LastReason reason;
     BOOST_REQUIRE_MESSAGE(node->Start(reason), reason.Text());
-    entries.push_back(settings->Address("listen.clients"));
-    readiness.push_back(settings->Address("listen.readiness"));
     return node;
   }
 
@@ -144,7 +130,8 @@
 
   Client& Connect(std::size_t aNode, const std::string& aDatabase = "shop")
   {
-    clients.push_back(std::make_unique<Client>(loop, entries[aNode]));
+    clients.push_back(
+      std::make_unique<Client>(loop, nodes[aNode]->ClientAddress()));
     clients.back()->connection->Write("STARTUP " + aDatabase + " me\r\n");
     return *clients.back();
   }
@@ -184,9 +171,11 @@
     Wire::HttpCall call;
     call.target = "/readyz";
     call.timeout = 2s;
-    http.Call(readiness[aNode], call, [&](const Wire::HttpOutcome& aOutcome) {
-      status = aOutcome.answer.status;
-    });
+    http.Call(nodes[aNode]->ReadinessAddress(),
+              call,
+              [&](const Wire::HttpOutcome& aOutcome) {
+                status = aOutcome.answer.status;
+              });
     RunUntil([&] { return status != -1; });
     return status;
   }
@@ -197,8 +186,6 @@
   Wire::Address storeAddress;
   std::map<std::string, std::unique_ptr<StandIns::StandInDatabase>> databases;
   std::vector<std::unique_ptr<NodeServer>> nodes;
-  std::vector<Wire::Address> entries;
-  std::vector<Wire::Address> readiness;
   std::vector<std::unique_ptr<Client>> clients;
 };
 
