LibAuthority, LibPooler: Relieve a primary that has all reads since its replicas lag

All its reads go to the primary, whose 5 slots are just what the group's load needs; 60 of 330 requests of the group failed in each 2 s. Ruled out: our floors (the replicas' own positions are that far behind), the order of waiters.

If a third of the members say so and all answer, the holder begins a voluntary change: a replica that has received (not applied) the whole log is promoted, and the former primary serves reads. Without such a replica the primary leads on, so that no acknowledged commit is lost. At most once in 15 s a group.

Also, of a VM only its newest process counts as present.

--- a/Libraries/LibAuthority/CandidateChoice.cpp
+++ b/Libraries/LibAuthority/CandidateChoice.cpp
@@ -55,6 +55,31 @@
            primary };
 }
 
+/** Where the old primary's log ends, as far as it has said so. */
+std::optional<Session::LogPosition>
+EndOfPrimary(const CandidateView& aView)
+{
+  if (aView.steppedDownAt)
+    return aView.steppedDownAt;
+  const auto status = aView.statuses.find(aView.record.primary);
+  if (status == aView.statuses.end())
+    return std::nullopt;
+  return status->second.received;
+}
+
+/** The old primary is well: only a replica with its whole log takes over. */
+CandidateChoice
+ChooseWithoutLoss(const CandidateView& aView, const Replicas& aReplicas)
+{
+  const auto end = EndOfPrimary(aView);
+  const SupervisedDatabase* longest = aReplicas.longest;
+  const bool isWhole = end && longest != nullptr &&
+                       aView.statuses.at(longest->id).received >= *end;
+  if (isWhole)
+    return { CandidateDecision::Promote, longest->id };
+  return ConsiderPrimary(aView);
+}
+
 } // namespace
 
 bool
@@ -77,6 +102,10 @@
       return { CandidateDecision::LeadsAlready, id };
   }
   const Replicas replicas = Compare(aView);
+  const bool mayBeLost =
+    aView.isLate && !aView.statuses.contains(aView.record.primary);
+  if (aView.record.change && aView.record.change->isVoluntary && !mayBeLost)
+    return ChooseWithoutLoss(aView, replicas);
   if (replicas.longest == nullptr)
     return ConsiderPrimary(aView);
   const std::string& longest = replicas.longest->id;
--- a/Libraries/LibAuthority/GroupRecord.cpp
+++ b/Libraries/LibAuthority/GroupRecord.cpp
@@ -31,8 +31,10 @@
 GroupRecord::ToText() const
 {
   boost::json::object json{ { "term", term }, { "primary", primary } };
-  if (change)
+  if (change) {
     json["candidate"] = change->candidate;
+    json["voluntary"] = change->isVoluntary;
+  }
   boost::json::array list;
   for (const TermStart& start : starts)
     list.push_back(boost::json::array{ start.term, start.position });
@@ -53,7 +55,8 @@
     record.term = fields.at("term").to_number<Session::Term>();
     record.primary = fields.at("primary").as_string();
     if (const auto* candidate = fields.if_contains("candidate"))
-      record.change = PrimaryChange{ std::string(candidate->as_string()) };
+      record.change = PrimaryChange{ std::string(candidate->as_string()),
+                                     fields.at("voluntary").as_bool() };
     for (const auto& start : fields.at("starts").as_array())
       record.starts.push_back(
         { start.as_array().at(0).to_number<Session::Term>(),
--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -14,6 +14,20 @@
 /** A primary that refuses connections this long has ended. */
 constexpr Core::Duration kRefusalLimit = std::chrono::milliseconds(250);
 
+/**
+ * A voluntary change waits so long for a replica to have the old primary's
+ * whole log. A replica that receives at all has it within some milliseconds;
+ * the primary may first have to work off what it was sent before.
+ */
+constexpr Core::Duration kVoluntaryChoiceTimeout =
+  std::chrono::milliseconds(1500);
+
+/**
+ * An overloaded primary isn't replaced so soon after the last change: each one
+ * stops writes for most of a second, and the group must gain more than that.
+ */
+constexpr Core::Duration kReliefInterval = std::chrono::seconds(15);
+
 /** A stage whose write or question got lost starts again after this. */
 constexpr Core::Duration kStageTimeout = std::chrono::seconds(3);
 
@@ -45,8 +59,11 @@
     record_ && aRecord && aRecord->primary != record_->primary;
   const bool isNews = record_ && aRecord && aRecord->version > record_->version;
   record_ = aRecord;
-  if (isOther)
+  if (isOther) {
     primaryAliveAt_ = scheduler_.Now();
+    primaryPosition_.reset();
+    noReliefBefore_ = scheduler_.Now() + kReliefInterval;
+  }
   const bool isWriting = stage_ == Stage::Announcing ||
                          stage_ == Stage::Naming || stage_ == Stage::Completing;
   // Somebody else has taken the change further; begin from what there is now.
@@ -55,9 +72,10 @@
 }
 
 void
-GroupSupervisor::NotePrimaryAlive(Core::Instant aSentAt)
+GroupSupervisor::NotePrimaryAlive(const SampleBook::Sample& aSample)
 {
-  primaryAliveAt_ = std::max(primaryAliveAt_, aSentAt);
+  primaryAliveAt_ = std::max(primaryAliveAt_, aSample.sentAt);
+  primaryPosition_ = aSample.position;
 }
 
 const SupervisedDatabase*
@@ -201,6 +219,7 @@
     BeginChange("silent");
     return;
   }
+  ConsiderRelief();
   // Answers to statements show as well that it lives.
   const bool wasHeard = now - primaryAliveAt_ < timing_.probeInterval;
   if (isProbing_ || wasHeard || now < nextProbe_)
@@ -215,6 +234,29 @@
               }));
 }
 
+void
+GroupSupervisor::ConsiderRelief()
+{
+  const Core::Instant now = scheduler_.Now();
+  if (now < noReliefBefore_ || !primaryPosition_ || !port_.IsOverloaded(group_))
+    return;
+  noReliefBefore_ = now + timing_.probeTimeout;
+  for (const SupervisedDatabase& database : databases_) {
+    if (database.isLeaving || database.id == record_->primary)
+      continue;
+    // One that receives nothing couldn't lead without losing commits.
+    port_.Probe(
+      database.id,
+      timing_.probeTimeout,
+      Guard([this, needed = *primaryPosition_](const ProbeOutcome& aOutcome) {
+        if (!aOutcome.status || aOutcome.status->received < needed)
+          return;
+        noReliefBefore_ = scheduler_.Now() + kReliefInterval;
+        BeginChange("overloaded", true);
+      }));
+  }
+}
+
 bool
 GroupSupervisor::HasUsefulCandidate() const
 {
@@ -275,7 +317,7 @@
 }
 
 void
-GroupSupervisor::BeginChange(std::string_view aReason)
+GroupSupervisor::BeginChange(std::string_view aReason, bool aIsVoluntary)
 {
   port_.Log("primary_change_begins",
             { { "group", group_ },
@@ -285,7 +327,7 @@
               { "silent_ms",
                 Core::ToMilliseconds(scheduler_.Now() - primaryAliveAt_) } });
   GroupRecord record = *record_;
-  record.change = PrimaryChange{};
+  record.change = PrimaryChange{ .isVoluntary = aIsVoluntary };
   EnterStage(Stage::Announcing);
   WriteAndThen(record, [this] { BeginFencing(); });
 }
@@ -365,7 +407,10 @@
 void
 GroupSupervisor::TryChoose()
 {
-  const bool isLate = scheduler_.Now() - stageSince_ > timing_.choiceTimeout;
+  const Core::Duration limit = record_->change->isVoluntary
+                                 ? kVoluntaryChoiceTimeout
+                                 : timing_.choiceTimeout;
+  const bool isLate = scheduler_.Now() - stageSince_ > limit;
   const CandidateChoice choice = ChooseCandidate(
     { *record_, databases_, statuses_, steppedDownAt_, isLate });
   switch (choice.decision) {
@@ -395,7 +440,7 @@
 GroupSupervisor::Name(const std::string& aCandidate)
 {
   GroupRecord record = *record_;
-  record.change = PrimaryChange{ aCandidate };
+  record.change->candidate = aCandidate;
   boost::json::object facts{ { "group", group_ }, { "candidate", aCandidate } };
   for (const auto& [id, status] : statuses_)
     facts[id] = status.received.ToText();
--- a/Libraries/LibAuthority/include/LibAuthority/CandidateChoice.h
+++ b/Libraries/LibAuthority/include/LibAuthority/CandidateChoice.h
@@ -40,7 +40,7 @@
   Promote,
   /** The database leads already. */
   LeadsAlready,
-  /** Nobody else answers, and the old primary never stopped leading. */
+  /** Nobody else can lead, and the old primary never stopped leading. */
   KeepPrimary,
 };
 
@@ -62,7 +62,8 @@
 
 /**
  * Chooses who leads next: the replica with the longest log, the old primary
- * only if nobody else answers.
+ * only if nobody else answers. In a voluntary change the old primary leads on
+ * unless a replica holds its whole log, or it is lost meanwhile.
  */
 CandidateChoice
 ChooseCandidate(const CandidateView& aView);
--- a/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
@@ -21,7 +21,12 @@
 struct PrimaryChange
 {
   /** The database to promote; empty until one is chosen. */
-  std::string candidate;
+  std::string candidate{};
+  /**
+   * The old primary is well, so that it leads on unless a replica holds its
+   * whole log.
+   */
+  bool isVoluntary = false;
 };
 
 /** What the store holds of one group of databases: who leads it. */
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -4,6 +4,7 @@
 #include <LibAuthority/CoordinationStore.h>
 #include <LibAuthority/GroupRecord.h>
 #include <LibAuthority/PrimaryAuthority.h>
+#include <LibAuthority/SampleBook.h>
 #include <LibCore/Scheduler.h>
 #include <LibSql/DatabaseLink.h>
 
@@ -68,6 +69,12 @@
    */
   virtual bool HasEnded(const std::string& aId) const = 0;
 
+  /**
+   * True if the group's primary has to run all reads, since every replica is
+   * too far behind, and can't keep up, and all nodes can be told of a change.
+   */
+  virtual bool IsOverloaded(const std::string& aGroup) const = 0;
+
   /** Asks a database for its status; gives up after aTimeout. */
   virtual void Probe(const std::string& aId,
                      Core::Duration aTimeout,
@@ -120,8 +127,11 @@
 
 /**
  * Keeps one group led: watches its primary and replaces it when it is lost or
- * leaving. Acts only while its node holds the failover duty; a successor
- * finishes from the record what its predecessor began.
+ * leaving, or when the replicas apply its log so late that it has all reads and
+ * can't keep up. A promoted replica leads with all that it has received, and
+ * the former primary, whose log is applied, helps with the reads. Acts only
+ * while its node holds the failover duty; a successor finishes from the record
+ * what its predecessor began.
  */
 class GroupSupervisor
 {
@@ -137,8 +147,8 @@
   /** The record as the store holds it; none while there is none. */
   void SetRecord(const std::optional<GroupRecord>& aRecord);
 
-  /** The primary has answered what was sent at aSentAt. */
-  void NotePrimaryAlive(Core::Instant aSentAt);
+  /** The primary has answered, with the position of its log. */
+  void NotePrimaryAlive(const SampleBook::Sample& aSample);
 
   /** True while a change of primary is under way here. */
   bool IsChanging() const { return stage_ != Stage::Watching; }
@@ -171,7 +181,8 @@
   void OnFirstStatuses();
   void WatchPrimary();
   void OnPrimaryProbe(const ProbeOutcome& aOutcome);
-  void BeginChange(std::string_view aReason);
+  void ConsiderRelief();
+  void BeginChange(std::string_view aReason, bool aIsVoluntary = false);
   void BeginFencing();
   void CheckFence();
   void OnFenced(std::string_view aHow);
@@ -208,6 +219,9 @@
   bool wasOnDuty_ = false;
   Core::Instant nextProbe_{};
   Core::Instant primaryAliveAt_{};
+  /** How far the primary's log went when it answered last. */
+  std::optional<Session::LogPosition> primaryPosition_;
+  Core::Instant noReliefBefore_ = Core::Instant::min();
   std::map<std::string, Sql::DatabaseStatus> statuses_;
   /** Where the old primary's log ended once it had stepped down. */
   std::optional<Session::LogPosition> steppedDownAt_;
--- a/Libraries/LibPeers/SeenRowsJson.h
+++ b/Libraries/LibPeers/HeartbeatJson.h
@@ -4,6 +4,8 @@
 #include <LibWire/FieldReader.h>
 
 #include <limits>
+#include <set>
+#include <string>
 
 namespace Peers {
 
@@ -37,4 +39,26 @@
   return seen;
 }
 
+/** The names of groups, in answers to heartbeats. */
+inline boost::json::array
+ToJson(const std::set<std::string>& aGroups)
+{
+  return boost::json::array(aGroups.begin(), aGroups.end());
+}
+
+/** Reads a list of groups' names; empty if it isn't there. */
+inline std::set<std::string>
+ReadGroups(Wire::FieldReader& aReader, std::string_view aKey)
+{
+  std::set<std::string> groups;
+  const boost::json::array* names = aReader.OptionalArray(aKey);
+  if (names == nullptr)
+    return groups;
+  for (const auto& name : *names) {
+    if (name.is_string())
+      groups.emplace(name.get_string());
+  }
+  return groups;
+}
+
 } // namespace Peers
--- a/Libraries/LibPeers/PeerClient.cpp
+++ b/Libraries/LibPeers/PeerClient.cpp
@@ -1,6 +1,6 @@
 #include <LibPeers/PeerClient.h>
 
-#include "SeenRowsJson.h"
+#include "HeartbeatJson.h"
 
 #include <LibCore/Log.h>
 #include <LibWire/FieldReader.h>
@@ -119,12 +119,8 @@
                reader.OptionalInteger("clock_us", 0, kAnyNumber))
            answer.clock = Core::Instant(Core::Duration(*clock));
          answer.seen = ReadSeenRows(reader);
-         if (const auto* groups = reader.OptionalArray("reached")) {
-           for (const auto& group : *groups) {
-             if (group.is_string())
-               answer.reachedGroups.emplace(group.get_string());
-           }
-         }
+         answer.reachedGroups = ReadGroups(reader, "reached");
+         answer.overloadedGroups = ReadGroups(reader, "overloaded");
          done(std::move(answer));
        });
 }
--- a/Libraries/LibPeers/PeerServer.cpp
+++ b/Libraries/LibPeers/PeerServer.cpp
@@ -1,6 +1,6 @@
 #include <LibPeers/PeerServer.h>
 
-#include "SeenRowsJson.h"
+#include "HeartbeatJson.h"
 
 #include <LibCore/Log.h>
 
@@ -80,10 +80,8 @@
           aAnswer["seen"] = ToJson(answer.seen);
           if (answer.clock)
             aAnswer["clock_us"] = answer.clock->time_since_epoch().count();
-          boost::json::array reached;
-          for (const std::string& group : answer.reachedGroups)
-            reached.emplace_back(group);
-          aAnswer["reached"] = std::move(reached);
+          aAnswer["reached"] = ToJson(answer.reachedGroups);
+          aAnswer["overloaded"] = ToJson(answer.overloadedGroups);
         });
   Route("/v1/record",
         [this](Wire::FieldReader& aReader, boost::json::object& aAnswer) {
--- a/Libraries/LibPooler/ConnectionPool.cpp
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -116,8 +116,9 @@
     return ticket;
   }
   const Rank rank{ aNeed.due, ticket };
-  waiters_.emplace(rank,
-                   Waiter{ ticket, std::move(aNeed), std::move(aReceiver) });
+  waiters_.emplace(
+    rank,
+    Waiter{ ticket, std::move(aNeed), std::move(aReceiver), scheduler_.Now() });
   DialIfNeeded();
   return ticket;
 }
@@ -399,6 +400,18 @@
   failures_ = 0;
 }
 
+Core::Duration
+ConnectionPool::LongestWait() const
+{
+  const Core::Instant now = scheduler_.Now();
+  Core::Instant since = now;
+  for (const auto& [rank, waiter] : waiters_)
+    since = std::min(since, waiter.since);
+  for (const auto& [ticket, waiter] : checkouts_)
+    since = std::min(since, waiter.since);
+  return now - since;
+}
+
 Core::Duration
 ConnectionPool::ExpectedLatency() const
 {
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -16,6 +16,12 @@
 /** One member in so many may be unknown before patience is needed. */
 constexpr int kUnknownShare = 3;
 
+/**
+ * A primary is overloaded if one member in so many says so: those with few
+ * clients hardly notice.
+ */
+constexpr int kOverloadedShare = 3;
+
 /** Partitions often end within this. */
 constexpr Core::Duration kPatienceInPartition = std::chrono::seconds(5);
 
@@ -113,11 +119,12 @@
 }
 
 void
-FailoverDuty::NotePrimaryAlive(const std::string& aGroup, Core::Instant aSentAt)
+FailoverDuty::NotePrimaryAlive(const std::string& aGroup,
+                               const Authority::SampleBook::Sample& aSample)
 {
   const auto supervisor = supervisors_.find(aGroup);
   if (supervisor != supervisors_.end())
-    supervisor->second->NotePrimaryAlive(aSentAt);
+    supervisor->second->NotePrimaryAlive(aSample);
 }
 
 void
@@ -270,6 +277,18 @@
     });
 }
 
+bool
+FailoverDuty::IsOverloaded(const std::string& aGroup) const
+{
+  const Membership::Opinions opinions = membership_.OpinionsOn(aGroup);
+  // A member that can't be told of a change would make it take a whole lease.
+  if (opinions.unknown > 0 || releaseBy_)
+    return false;
+  const int own = overloaded_.contains(aGroup) ? 1 : 0;
+  const int all = 1 + opinions.reaching + opinions.notReaching;
+  return (own + opinions.overloaded) * kOverloadedShare >= all;
+}
+
 void
 FailoverDuty::Probe(const std::string& aId,
                     Core::Duration aTimeout,
--- a/Libraries/LibPooler/GroupRouter.cpp
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -13,6 +13,15 @@
  */
 constexpr Core::Duration kLagMemory = std::chrono::milliseconds(120);
 
+/**
+ * Reads try a replica that was behind again after kLagMemory, so that under
+ * load its position is known to within this.
+ */
+constexpr Core::Duration kKnownPositionAge = std::chrono::milliseconds(1000);
+
+/** Ordinary work seldom waits so long for a connection to the primary. */
+constexpr Core::Duration kLongWait = std::chrono::milliseconds(100);
+
 /** A database in another data centre costs this much more than one nearby. */
 constexpr Core::Duration kRemoteCost = std::chrono::milliseconds(5);
 
@@ -118,9 +127,34 @@
 {
   if (aPool.Info().isLeaving || aNeed.excluded.contains(aPool.Info().id))
     return false;
-  const bool isKnownBehind = aPool.Position() && *aPool.Position() < aFloor &&
-                             scheduler_.Now() - aPool.PositionAt() < kLagMemory;
-  return !isKnownBehind;
+  return !IsTooFarBehind(aPool, aFloor, kLagMemory);
+}
+
+bool
+GroupRouter::IsTooFarBehind(const ConnectionPool& aPool,
+                            const Session::LogPosition& aFloor,
+                            Core::Duration aMaxAge) const
+{
+  return aPool.Position() && *aPool.Position() < aFloor &&
+         scheduler_.Now() - aPool.PositionAt() < aMaxAge;
+}
+
+bool
+GroupRouter::IsPrimaryOverloaded() const
+{
+  const Core::Instant now = scheduler_.Now();
+  const auto floor = samples_.FloorFor(now, longestStaleness_);
+  const auto& record = authority_.Record();
+  if (!floor || !record)
+    return false;
+  const auto primary = pools_.find(record->primary);
+  if (primary == pools_.end() || primary->second->LongestWait() < kLongWait)
+    return false;
+  return std::all_of(pools_.begin(), pools_.end(), [&](const auto& aEntry) {
+    const ConnectionPool& pool = *aEntry.second;
+    return aEntry.first == record->primary || pool.Info().isLeaving ||
+           pool.IsSuspect() || IsTooFarBehind(pool, *floor, kKnownPositionAge);
+  });
 }
 
 Core::Duration
--- a/Libraries/LibPooler/MemberRoster.cpp
+++ b/Libraries/LibPooler/MemberRoster.cpp
@@ -67,11 +67,17 @@
 std::vector<Member>
 MemberRoster::Present() const
 {
-  std::vector<Member> present;
+  std::map<std::string_view, const Member*> newest;
   for (const auto& [key, member] : members_) {
-    if (!member.isExpelled)
-      present.push_back(member);
+    if (member.isExpelled)
+      continue;
+    const Member*& known = newest[member.name];
+    if (known == nullptr || known->version < member.version)
+      known = &member;
   }
+  std::vector<Member> present;
+  for (const auto& [name, member] : newest)
+    present.push_back(*member);
   return present;
 }
 
--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -218,6 +218,7 @@
   contact->second.answeredAt = scheduler_.Now();
   contact->second.clock = aAnswer.clock;
   contact->second.reachedGroups = aAnswer.reachedGroups;
+  contact->second.overloadedGroups = aAnswer.overloadedGroups;
   contact->second.seen = aAnswer.seen;
 }
 
@@ -263,12 +264,16 @@
     const auto contact = contacts_.find(member.Key());
     // An expelled member may still be using the primary.
     if (member.isExpelled || contact == contacts_.end() ||
-        now - contact->second.answeredAt > kHolderSilence)
+        now - contact->second.answeredAt > kHolderSilence) {
       ++opinions.unknown;
-    else if (contact->second.reachedGroups.contains(aGroup))
+      continue;
+    }
+    if (contact->second.reachedGroups.contains(aGroup))
       ++opinions.reaching;
     else
       ++opinions.notReaching;
+    if (contact->second.overloadedGroups.contains(aGroup))
+      ++opinions.overloaded;
   }
   return opinions;
 }
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -72,6 +72,7 @@
                  aMetrics,
                  log_)
   , samples_(aScheduler, aLinks.dialer, routers_)
+  , overload_(aScheduler, routers_, log_)
   , statementLog_(aScheduler, aMetrics, log_)
   , tick_(aScheduler.Every(kTickInterval, [this] { Tick(); }))
 {
@@ -107,6 +108,7 @@
     longestStatement_ = std::max(longestStatement_, route.statementTimeout);
   for (const auto& [group, limit] : configuration_.maxConnections)
     RouterOf(group);
+  ShareStaleness();
   ShareDatabases();
   ShareConnections();
 }
@@ -203,6 +205,18 @@
   return longestStatement_ + kCheckoutMargin;
 }
 
+void
+Node::ShareStaleness()
+{
+  std::map<std::string, Core::Duration> longest;
+  for (const auto& [database, route] : configuration_.routes) {
+    Core::Duration& age = longest[route.group];
+    age = std::max(age, route.maxStaleness);
+  }
+  for (auto& [name, router] : routers_)
+    router->SetLongestStaleness(longest[name]);
+}
+
 std::shared_ptr<ConnectionPool>
 Node::OwnPool(const std::string& aDatabase)
 {
@@ -351,14 +365,15 @@
 Node::Tick()
 {
   ShareSeenRows();
+  overload_.Tick();
+  duty_.SetOverloaded(overload_.Overloaded());
   duty_.Tick();
   if (duty_.KnowsAllChanges() && membership_.CoversQuestion(scheduler_.Now())) {
     for (auto& [name, router] : routers_)
       router->RenewAuthority(scheduler_.Now());
   }
   for (const auto& [name, router] : routers_) {
-    const auto newest = router->Samples().Newest();
-    if (newest)
+    if (const auto newest = router->Samples().NewestSample())
       duty_.NotePrimaryAlive(name, *newest);
   }
   const bool isStoreSilent =
@@ -450,6 +465,7 @@
   const Core::Instant now = scheduler_.Now();
   answer.delivery = PeerDelivery::Answered;
   answer.clock = now;
+  answer.overloadedGroups = overload_.Overloaded();
   for (const auto& [name, router] : routers_) {
     const auto newest = router->Samples().Newest();
     if (newest && now - *newest < kReachedAge)
--- a/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
+++ b/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
@@ -137,6 +137,8 @@
 
   int Open() const { return static_cast<int>(idle_.size()) + inUse_; }
   int InUse() const { return inUse_; }
+  /** How long those who wait have waited at most. */
+  Core::Duration LongestWait() const;
   int Waiting() const
   {
     return static_cast<int>(waiters_.size() + checkouts_.size());
@@ -149,6 +151,7 @@
     std::uint64_t ticket;
     ConnectionNeed need;
     Receiver receiver;
+    Core::Instant since;
   };
 
   /** One who waits for a connection of another node. */
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -59,8 +59,14 @@
   void SetRecord(const Authority::GroupRecord& aRecord);
   /** The rows up to aVersion have been applied. */
   void OnRowsApplied(std::uint64_t aVersion);
-  /** The group's primary has answered a statement that was sent at aSentAt. */
-  void NotePrimaryAlive(const std::string& aGroup, Core::Instant aSentAt);
+  /** The group's primary has answered a statement. */
+  void NotePrimaryAlive(const std::string& aGroup,
+                        const Authority::SampleBook::Sample& aSample);
+  /** The groups whose primary can't keep up, as this node sees it. */
+  void SetOverloaded(std::set<std::string> aGroups)
+  {
+    overloaded_ = std::move(aGroups);
+  }
 
   /** Renews or takes the duty, and acts on it. */
   void Tick();
@@ -100,6 +106,7 @@
   bool IsLostToOthers(const std::string& aGroup,
                       Core::Duration aSilence) const override;
   bool HasEnded(const std::string& aId) const override;
+  bool IsOverloaded(const std::string& aGroup) const override;
   void Probe(const std::string& aId,
              Core::Duration aTimeout,
              ProbeHandler aDone) override;
@@ -127,6 +134,7 @@
   LogSink log_;
   ControlLinks control_;
   SeenRows seen_;
+  std::set<std::string> overloaded_;
   Authority::DutyLease lease_;
   DatabaseList databases_;
   /** Where databases answer, and where primaries did that are not listed. */
--- a/Libraries/LibPooler/include/LibPooler/GroupRouter.h
+++ b/Libraries/LibPooler/include/LibPooler/GroupRouter.h
@@ -58,6 +58,8 @@
   /** 0: the connections are other nodes'. */
   void SetConnectionLimit(int aLimit);
   int ConnectionLimit() const { return connectionLimit_; }
+  /** How old reads of the group may be at most; 0: all go to the primary. */
+  void SetLongestStaleness(Core::Duration aAge) { longestStaleness_ = aAge; }
 
   void ObserveRecord(const Authority::GroupRecord& aRecord,
                      Core::Instant aAskedAt);
@@ -67,6 +69,12 @@
   /** None when no database may be used now. */
   std::optional<RoutingChoice> Choose(const RoutingNeed& aNeed) const;
 
+  /**
+   * True if statements wait long for the primary while every replica is too
+   * far behind for any read.
+   */
+  bool IsPrimaryOverloaded() const;
+
   /** An answer of a primary to a statement that was sent under authority. */
   void AddSample(Core::Instant aSentAt, const Session::LogPosition& aPosition);
 
@@ -88,6 +96,9 @@
   bool IsUsefulReplica(const ConnectionPool& aPool,
                        const RoutingNeed& aNeed,
                        const Session::LogPosition& aFloor) const;
+  bool IsTooFarBehind(const ConnectionPool& aPool,
+                      const Session::LogPosition& aFloor,
+                      Core::Duration aMaxAge) const;
   Core::Duration CostOf(const ConnectionPool& aPool, bool aIsPrimary) const;
   void Wake();
 
@@ -100,6 +111,7 @@
   Authority::SampleBook samples_;
   std::map<std::string, std::shared_ptr<ConnectionPool>> pools_;
   int connectionLimit_ = 1;
+  Core::Duration longestStaleness_{ 0 };
   std::map<std::uint64_t, std::function<void()>> waiting_;
   std::uint64_t lastTicket_ = 0;
 };
--- a/Libraries/LibPooler/include/LibPooler/MemberRoster.h
+++ b/Libraries/LibPooler/include/LibPooler/MemberRoster.h
@@ -26,7 +26,11 @@
   const Member* Find(const std::string& aKey) const;
   /** All, also those that are expelled. */
   const std::map<std::string, Member>& All() const { return members_; }
-  /** Those that take part, in the order of their keys. */
+  /**
+   * Those that take part, in the order of their names: of each VM the process
+   * that began last, since there is only one at a time. The rows of those that
+   * were killed stay until the holder of the failover duty removes them.
+   */
   std::vector<Member> Present() const;
 
 private:
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -85,6 +85,8 @@
     int notReaching = 0;
     /** They gave no answer lately. */
     int unknown = 0;
+    /** They say that it can't keep up; of those that answered. */
+    int overloaded = 0;
   };
   Opinions OpinionsOn(const std::string& aGroup) const;
 
@@ -97,6 +99,7 @@
     bool isAsked = false;
     std::optional<Core::Instant> clock{};
     std::set<std::string> reachedGroups{};
+    std::set<std::string> overloadedGroups{};
     SeenRows seen{};
   };
 
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -8,6 +8,7 @@
 #include <LibPooler/Fleet.h>
 #include <LibPooler/GroupRouter.h>
 #include <LibPooler/Membership.h>
+#include <LibPooler/OverloadWatch.h>
 #include <LibPooler/RelayBook.h>
 #include <LibPooler/SampleKeeper.h>
 #include <LibPooler/StatementLog.h>
@@ -132,6 +133,7 @@
   void Observe(const Authority::GroupRecord& aRecord, Core::Instant aAskedAt);
   GroupRouter& RouterOf(const std::string& aName);
   void ShareDatabases();
+  void ShareStaleness();
   void ShareConnections();
   void ShareGroup(GroupRouter& aRouter,
                   const std::vector<Member>& aPresent,
@@ -167,6 +169,7 @@
   bool refusesWork_ = false;
   GroupRouters routers_;
   SampleKeeper samples_;
+  OverloadWatch overload_;
   StatementLog statementLog_;
   /** When the store was last asked a question that it answered. */
   Core::Instant storeAskedAt_ = Core::Instant::min();
--- a/Libraries/LibPooler/include/LibPooler/Peers.h
+++ b/Libraries/LibPooler/include/LibPooler/Peers.h
@@ -107,6 +107,8 @@
   std::optional<Core::Instant> clock;
   /** The groups whose primary has answered it a moment ago. */
   std::set<std::string> reachedGroups;
+  /** The groups whose primary can't keep up while all replicas are behind. */
+  std::set<std::string> overloadedGroups;
   SeenRows seen{};
 };
 
--- a/Tests/LibAuthority/TestCandidateChoice.cpp
+++ b/Tests/LibAuthority/TestCandidateChoice.cpp
@@ -31,6 +31,7 @@
   bool isLate;
   CandidateDecision decision;
   std::string database;
+  bool isVoluntary = false;
 };
 
 std::ostream&
@@ -151,13 +152,84 @@
     "a" },
 };
 
+const std::vector<Case> kVoluntaryCases{
+  { "a replica has the whole log of a primary that stepped down",
+    { { "a", false, 3, 60 } },
+    "",
+    60,
+    false,
+    kPromote,
+    "a",
+    true },
+  { "a replica has the whole log of a primary that still leads",
+    { { "p", true, 3, 60 }, { "a", false, 3, 50 }, { "b", false, 3, 60 } },
+    "",
+    {},
+    false,
+    kPromote,
+    "b",
+    true },
+  { "where the primary's log ends isn't known yet",
+    { { "a", false, 3, 60 }, { "b", false, 3, 60 } },
+    "",
+    {},
+    false,
+    kWait,
+    "",
+    true },
+  { "no replica has the whole log yet",
+    { { "p", true, 3, 60 }, { "a", false, 3, 50 }, { "b", false, 3, 59 } },
+    "",
+    {},
+    false,
+    kWait,
+    "",
+    true },
+  { "no replica gets the whole log, and the primary still leads",
+    { { "p", true, 3, 60 }, { "a", false, 3, 50 }, { "b", false, 3, 59 } },
+    "",
+    {},
+    true,
+    CandidateDecision::KeepPrimary,
+    "p",
+    true },
+  { "no replica gets the whole log of a primary that stepped down",
+    { { "p", false, 3, 60 }, { "a", false, 3, 50 }, { "b", false, 3, 59 } },
+    "",
+    60,
+    true,
+    kPromote,
+    "p",
+    true },
+  { "a leaving replica has the whole log",
+    { { "p", true, 3, 60 }, { "a", false, 3, 60 }, { "b", false, 3, 59 } },
+    "a",
+    {},
+    true,
+    CandidateDecision::KeepPrimary,
+    "p",
+    true },
+  { "the primary is lost meanwhile",
+    { { "a", false, 3, 50 }, { "b", false, 3, 51 } },
+    "",
+    60,
+    true,
+    kPromote,
+    "b",
+    true },
+};
+
 } // namespace
 
-BOOST_DATA_TEST_CASE(WhoLeadsNext, boost::unit_test::data::make(kCases), aCase)
+BOOST_DATA_TEST_CASE(WhoLeadsNext,
+                     boost::unit_test::data::make(kCases) +
+                       boost::unit_test::data::make(kVoluntaryCases),
+                     aCase)
 {
   Authority::GroupRecord record;
   record.primary = "p";
   record.term = kTerm;
+  record.change = Authority::PrimaryChange{ .isVoluntary = aCase.isVoluntary };
   std::vector<Authority::SupervisedDatabase> databases;
   for (const char* id : { "p", "a", "b" })
     databases.push_back({ id, "dc", aCase.leaving == id });
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -6,6 +6,7 @@
 
 #include <LibAuthority/GroupSupervisor.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace std::chrono_literals;
@@ -80,6 +81,7 @@
     return !othersReachPrimary;
   }
   bool HasEnded(const std::string& aId) const override { return ended == aId; }
+  bool IsOverloaded(const std::string&) const override { return isOverloaded; }
   void Probe(const std::string& aId,
              Core::Duration aTimeout,
              ProbeHandler aDone) override
@@ -126,8 +128,10 @@
     if (!stored || stored->version == aRecord.version) {
       stored = aRecord;
       stored->version = ++version;
-      if (aRecord.change && !changeBeganAt)
+      if (aRecord.change && !changeBeganAt) {
         changeBeganAt = time.Now();
+        onChange();
+      }
       Reply(aDone, { WriteResult::Applied, version });
       return;
     }
@@ -153,6 +157,9 @@
   bool holdsDuty = true;
   bool othersReachPrimary = false;
   bool allNodesAnswer = true;
+  bool isOverloaded = false;
+  /** Runs when the first change is written. */
+  std::function<void()> onChange = [] {};
   bool promotionsWork = true;
   std::optional<GroupRecord> stored;
   std::uint64_t version = 10;
@@ -185,8 +192,55 @@
   { "stepped down, a node without answer", true, false, 1400ms, 2200ms },
 };
 
+/** A primary that can't keep up while its replicas apply its log late. */
+struct ReliefCase
+{
+  const char* name;
+  /** How far the replicas have received the primary's log of 100. */
+  std::uint64_t received;
+  /** What the primary commits when the change has begun. */
+  std::uint64_t lastCommits;
+  /** How much of that the replicas receive. */
+  std::uint64_t arriving;
+  const char* primary;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const ReliefCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const ReliefCase kReliefs[] = {
+  { "replicas receive all", 100, 0, 0, "b" },
+  { "replicas receive nothing", 90, 0, 0, "a" },
+  { "the last commits arrive", 100, 5, 5, "b" },
+  { "the last commits don't arrive", 100, 5, 0, "a" },
+};
+
 } // namespace
 
+BOOST_DATA_TEST_CASE_F(Fixture, RelievesAnOverloadedPrimary, kReliefs, aCase)
+{
+  Begin();
+  for (const std::string id : { "b", "c" })
+    members[id].status.received = { 1, aCase.received };
+  supervisor.NotePrimaryAlive({ time.Now(), { 1, 100 } });
+  isOverloaded = true;
+  onChange = [this, &aCase] {
+    members["a"].status.received.position += aCase.lastCommits;
+    time.DeferFor(20ms, [this, &aCase] {
+      members["b"].status.received.position += aCase.arriving;
+    });
+  };
+  Pass(5s);
+  BOOST_TEST(!stored->change.has_value());
+  BOOST_TEST(stored->primary == aCase.primary);
+  // A promotion that would lose commits was never asked for.
+  BOOST_TEST(std::count(promoted.begin(), promoted.end(), "b") ==
+             (aCase.primary == std::string("b") ? 1 : 0));
+}
+
 BOOST_DATA_TEST_CASE_F(Fixture, WaitsUntilNobodyUsesThePrimary, kFences)
 {
   Begin();
@@ -216,6 +270,19 @@
   BOOST_TEST(promoted.empty());
 }
 
+BOOST_AUTO_TEST_CASE(RelievesAGroupSeldom)
+{
+  Begin();
+  isOverloaded = true;
+  const auto answers = time.Every(100ms, [this] {
+    supervisor.NotePrimaryAlive({ time.Now(), { 1, 100 } });
+  });
+  Pass(15s);
+  BOOST_TEST(promoted.size() == 1U);
+  Pass(5s);
+  BOOST_TEST(promoted.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ChoosesTheLongestLog)
 {
   Begin();
--- a/Tests/LibPooler/TestMembership.cpp
+++ b/Tests/LibPooler/TestMembership.cpp
@@ -215,6 +215,25 @@
   BOOST_TEST(membership.Others().empty());
 }
 
+/** All nodes have been killed and are back; nobody holds the duty yet. */
+BOOST_AUTO_TEST_CASE(OfAVMOnlyItsNewestProcessTakesPart)
+{
+  holdsDuty = false;
+  Join(MemberOf("me", "9"));
+  Join(MemberOf("other", "7"));
+  membership.Register([] {});
+  Pass(10ms);
+  Join(MemberOf("other", "2"));
+  ShowRows();
+  std::vector<std::string> present;
+  for (const Member& member : membership.Roster().Present())
+    present.push_back(member.Key());
+  const std::vector<std::string> expected{ "me#1", "other#2" };
+  BOOST_TEST(present == expected, boost::test_tools::per_element());
+  // Nobody is certain to have ended until the store says so.
+  BOOST_TEST(membership.Others().size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(ANewTenureBeginsWithoutOldSilence)
 {
   Join(MemberOf("other"));
