LibPooler: Judge an overloaded primary by its owners and by the routes' targets

A node has 3 statements a second of a group there, too few to tell; the 17 owners of the pools wait for no connection, since the queue stands in the database (6 connections each on 3 slots): its answers take 105 ms where replicas take 15.

Change: only members that open connections judge, a third of them is enough, and what is checked out of them counts as theirs. Overloaded is a primary that needs, or lets wait, more than half of the most urgent route's target latency.

--- a/Libraries/LibPooler/CheckoutSession.cpp
+++ b/Libraries/LibPooler/CheckoutSession.cpp
@@ -138,10 +138,17 @@
   }
   TakeBackAfter(host_.CheckoutAnswerLimit());
   ++unanswered_;
+  const bool isClients = aCommand.kind == Sql::CommandKind::ClientStatement ||
+                         aCommand.kind == Sql::CommandKind::ClientExecute;
   connection_->link->Send(
-    aCommand, [this, alive = alive_](const Sql::DatabaseReply& aReply) {
-      if (*alive)
-        OnReply(aReply);
+    aCommand,
+    [this, alive = alive_, isClients, sentAt = scheduler_.Now()](
+      const Sql::DatabaseReply& aReply) {
+      if (!*alive)
+        return;
+      if (isClients && isGranted_ && aReply.IsSuccess())
+        pool_->RecordLatency(scheduler_.Now() - sentAt);
+      OnReply(aReply);
     });
 }
 
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -17,8 +17,8 @@
 constexpr int kUnknownShare = 3;
 
 /**
- * A primary is overloaded if one member in so many says so: those with few
- * clients hardly notice.
+ * A primary is overloaded if one in so many of the members that open
+ * connections to it says so: those with few clients hardly notice.
  */
 constexpr int kOverloadedShare = 3;
 
@@ -285,8 +285,11 @@
   if (opinions.unknown > 0 || releaseBy_)
     return false;
   const int own = overloaded_.contains(aGroup) ? 1 : 0;
-  const int all = 1 + opinions.reaching + opinions.notReaching;
-  return (own + opinions.overloaded) * kOverloadedShare >= all;
+  const auto owners = ownerCounts_.find(aGroup);
+  const bool isShared = owners != ownerCounts_.end() && owners->second > 0;
+  const int judges = isShared ? static_cast<int>(owners->second)
+                              : 1 + opinions.reaching + opinions.notReaching;
+  return (own + opinions.overloaded) * kOverloadedShare >= judges;
 }
 
 void
--- a/Libraries/LibPooler/GroupRouter.cpp
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -19,8 +19,11 @@
  */
 constexpr Core::Duration kKnownPositionAge = std::chrono::milliseconds(1000);
 
-/** Ordinary work seldom waits so long for a connection to the primary. */
-constexpr Core::Duration kLongWait = std::chrono::milliseconds(100);
+/**
+ * The share of the most urgent route's target latency that a primary which
+ * keeps up needs at most. The rest is for transactions of some statements.
+ */
+constexpr double kTargetShare = 0.5;
 
 /** A database in another data centre costs this much more than one nearby. */
 constexpr Core::Duration kRemoteCost = std::chrono::milliseconds(5);
@@ -143,12 +146,16 @@
 GroupRouter::IsPrimaryOverloaded() const
 {
   const Core::Instant now = scheduler_.Now();
-  const auto floor = samples_.FloorFor(now, longestStaleness_);
+  const auto floor = samples_.FloorFor(now, goals_.longestStaleness);
   const auto& record = authority_.Record();
   if (!floor || !record)
     return false;
   const auto primary = pools_.find(record->primary);
-  if (primary == pools_.end() || primary->second->LongestWait() < kLongWait)
+  if (primary == pools_.end() || !primary->second->IsOwner())
+    return false;
+  const auto limit = goals_.shortestTarget * kTargetShare;
+  if (primary->second->LongestWait() < limit &&
+      primary->second->UsualLatency() < limit)
     return false;
   return std::all_of(pools_.begin(), pools_.end(), [&](const auto& aEntry) {
     const ConnectionPool& pool = *aEntry.second;
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -108,7 +108,7 @@
     longestStatement_ = std::max(longestStatement_, route.statementTimeout);
   for (const auto& [group, limit] : configuration_.maxConnections)
     RouterOf(group);
-  ShareStaleness();
+  ShareGoals();
   ShareDatabases();
   ShareConnections();
 }
@@ -195,6 +195,7 @@
            { "owners", share.owners.size() },
            { "members", aPresent.size() } });
   samples_.SetShared(aRouter.Name(), isShared && share.connections > 0);
+  duty_.SetOwnerCount(aRouter.Name(), share.owners.size());
   remotePools_.SetOwners(aRouter.Name(), std::move(share.owners));
   aRouter.SetConnectionLimit(share.connections);
 }
@@ -206,15 +207,16 @@
 }
 
 void
-Node::ShareStaleness()
+Node::ShareGoals()
 {
-  std::map<std::string, Core::Duration> longest;
+  std::map<std::string, GroupGoals> goals;
   for (const auto& [database, route] : configuration_.routes) {
-    Core::Duration& age = longest[route.group];
-    age = std::max(age, route.maxStaleness);
+    GroupGoals& goal = goals[route.group];
+    goal.longestStaleness = std::max(goal.longestStaleness, route.maxStaleness);
+    goal.shortestTarget = std::min(goal.shortestTarget, route.targetLatency);
   }
   for (auto& [name, router] : routers_)
-    router->SetLongestStaleness(longest[name]);
+    router->SetGoals(goals[name]);
 }
 
 std::shared_ptr<ConnectionPool>
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -62,6 +62,11 @@
   /** The group's primary has answered a statement. */
   void NotePrimaryAlive(const std::string& aGroup,
                         const Authority::SampleBook::Sample& aSample);
+  /** How many members own a group's connections; 0: all have some. */
+  void SetOwnerCount(const std::string& aGroup, std::size_t aCount)
+  {
+    ownerCounts_[aGroup] = aCount;
+  }
   /** The groups whose primary can't keep up, as this node sees it. */
   void SetOverloaded(std::set<std::string> aGroups)
   {
@@ -135,6 +140,7 @@
   ControlLinks control_;
   SeenRows seen_;
   std::set<std::string> overloaded_;
+  std::map<std::string, std::size_t> ownerCounts_;
   Authority::DutyLease lease_;
   DatabaseList databases_;
   /** Where databases answer, and where primaries did that are not listed. */
--- a/Libraries/LibPooler/include/LibPooler/GroupRouter.h
+++ b/Libraries/LibPooler/include/LibPooler/GroupRouter.h
@@ -43,6 +43,15 @@
   std::optional<Session::LogPosition> floor;
 };
 
+/** What the routes to a group ask of it, all together. */
+struct GroupGoals
+{
+  /** How old reads may be at most; 0: all go to the primary. */
+  Core::Duration longestStaleness{ 0 };
+  /** How soon the most urgent operations should be over. */
+  Core::Duration shortestTarget = Core::Duration::max();
+};
+
 /** One group of databases as this node sees it: chooses who runs what. */
 class GroupRouter
 {
@@ -58,8 +67,7 @@
   /** 0: the connections are other nodes'. */
   void SetConnectionLimit(int aLimit);
   int ConnectionLimit() const { return connectionLimit_; }
-  /** How old reads of the group may be at most; 0: all go to the primary. */
-  void SetLongestStaleness(Core::Duration aAge) { longestStaleness_ = aAge; }
+  void SetGoals(const GroupGoals& aGoals) { goals_ = aGoals; }
 
   void ObserveRecord(const Authority::GroupRecord& aRecord,
                      Core::Instant aAskedAt);
@@ -70,8 +78,10 @@
   std::optional<RoutingChoice> Choose(const RoutingNeed& aNeed) const;
 
   /**
-   * True if statements wait long for the primary while every replica is too
-   * far behind for any read.
+   * True if statements take long at the primary, or wait long for it, while
+   * every replica is too far behind for any read. Only a node that opens
+   * connections itself can tell; where others check them out, it sees their
+   * statements as well.
    */
   bool IsPrimaryOverloaded() const;
 
@@ -111,7 +121,7 @@
   Authority::SampleBook samples_;
   std::map<std::string, std::shared_ptr<ConnectionPool>> pools_;
   int connectionLimit_ = 1;
-  Core::Duration longestStaleness_{ 0 };
+  GroupGoals goals_;
   std::map<std::uint64_t, std::function<void()>> waiting_;
   std::uint64_t lastTicket_ = 0;
 };
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -133,7 +133,7 @@
   void Observe(const Authority::GroupRecord& aRecord, Core::Instant aAskedAt);
   GroupRouter& RouterOf(const std::string& aName);
   void ShareDatabases();
-  void ShareStaleness();
+  void ShareGoals();
   void ShareConnections();
   void ShareGroup(GroupRouter& aRouter,
                   const std::vector<Member>& aPresent,
--- a/Tests/LibPooler/TestOverloadWatch.cpp
+++ b/Tests/LibPooler/TestOverloadWatch.cpp
@@ -102,7 +102,7 @@
 {
   const Pooler::GroupRouters none;
   Pooler::OverloadWatch watch(time, none, Sink());
-  router.SetLongestStaleness(1500ms);
+  router.SetGoals({ 1500ms, 200ms });
   databases.At("p").work = 30ms;
   for (const std::string id : { "a", "b" })
     databases.At(id).position = aCase.areReplicasBehind ? 50 : 100;
