Services/Node: Take no clients once the last one has been let go at a stop

Change: the door closes before the process begins to end; who connects then is refused at once and goes elsewhere.

Before: AStoppedNodeTakesNoMoreClients fails (the client gets READY). After: it passes.

--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -203,6 +203,8 @@
 {
   Core::LogChange(
     "stopped", { { "sessions", static_cast<std::int64_t>(door_.Sessions()) } });
+  // Ending takes a while yet, in which nobody would be served to the end.
+  door_.StopListening();
   door_.GiveUpStatements();
   door_.CloseAllSessions();
   node_.Leave([this] { loop_.Stop(); });
--- a/Tests/Platform/TestNodeOnLoopback.cpp
+++ b/Tests/Platform/TestNodeOnLoopback.cpp
@@ -330,4 +330,23 @@
   BOOST_TEST(Ask(busy, "COMMIT").starts_with("COMPLETE signed-i-a"));
 }
 
+/**
+ * A process that has let its last client go waits for the store's answer before
+ * it ends. Who connects then would be cut off in the middle of a statement.
+ */
+BOOST_AUTO_TEST_CASE(AStoppedNodeTakesNoMoreClients)
+{
+  ServingClient(0);
+  nodes[0]->Stop();
+  // A node that has stopped ends the loop.
+  RunUntil([] { return false; });
+  Client& late = Connect(0);
+  const auto isOver = [&] { return late.isEnded || !late.lines.empty(); };
+  // It does so twice.
+  if (!RunUntil(isOver))
+    RunUntil(isOver);
+  BOOST_TEST(late.isEnded);
+  BOOST_TEST(late.lines.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
