RowFollower: Report replaced requests and how much of a response arrived

What callers saw: a node answers 404 for routes of a configuration that was acknowledged long before, and its log is silent about it (docs/incidents/configuration-not-in-force.md).

Change: a request for a table's rows is an object that knows how much of its response has arrived. The follower reports a request that it replaces by another one, and every event says the request's age and the bytes received. The three hypotheses of the incident now differ in the log. No decision changes.

Evidence: TestRowFollower, TestHttpConnection and TestNodeOnLoopback pass.

--- a/Libraries/LibAuthority/RowFollower.cpp
+++ b/Libraries/LibAuthority/RowFollower.cpp
@@ -38,7 +38,7 @@
                          Core::Random aRandom,
                          std::function<bool()> aReceivesFromPeers,
                          Handler aHandler,
-                         LogSink aLog)
+                         EventSink aOnEvent)
   : scheduler_(aScheduler)
   , feed_(aFeed)
   , table_(std::move(aTable))
@@ -46,7 +46,7 @@
   , random_(aRandom)
   , receivesFromPeers_(std::move(aReceivesFromPeers))
   , handler_(std::move(aHandler))
-  , log_(std::move(aLog))
+  , onEvent_(std::move(aOnEvent))
 {
 }
 
@@ -79,9 +79,10 @@
 RowFollower::ReadSnapshot(FollowedRows aRows, const std::string& aFrom)
 {
   isFollowing_ = false;
+  requestedAt_ = scheduler_.Now();
   if (aRows.rows.empty())
-    aRows.requestedAt = scheduler_.Now();
-  feed_.ReadRows(
+    aRows.requestedAt = requestedAt_;
+  pending_ = feed_.ReadRows(
     table_, aFrom, IfCurrent([this, rows = std::move(aRows)](StoreRows aReply) {
       OnSnapshot(rows, std::move(aReply));
     }));
@@ -91,7 +92,7 @@
 RowFollower::OnSnapshot(FollowedRows aRows, StoreRows aReply)
 {
   if (aReply.answer != StoreStatus::Done) {
-    Retry(aReply.answer, [this] { ReadSnapshot({}, {}); });
+    Retry(aReply, [this] { ReadSnapshot({}, {}); });
     return;
   }
   ResetFailures();
@@ -131,10 +132,14 @@
 void
 RowFollower::Follow(Core::Duration aWait)
 {
+  if (isFollowing_)
+    ReportEvent(FollowEventKind::RequestReplaced,
+                StoreStatus::NoAnswer,
+                pending_->ReceivedBytes());
   isFollowing_ = true;
   requestedAt_ = scheduler_.Now();
   wait_ = aWait;
-  feed_.AwaitChanges(
+  pending_ = feed_.AwaitChanges(
     table_,
     version_,
     aWait,
@@ -161,13 +166,14 @@
           scheduler_.After(timing_.pause, [this] { Follow(NextWait()); });
       return;
     case StoreStatus::HistoryGone:
-      log_("store_history_gone", table_, aReply.answer);
+      ReportEvent(
+        FollowEventKind::HistoryGone, aReply.answer, aReply.receivedBytes);
       ReadSnapshot({}, {});
       return;
     case StoreStatus::Conflict:
     case StoreStatus::Refused:
     case StoreStatus::NoAnswer:
-      Retry(aReply.answer, [this] { Follow(NextWait()); });
+      Retry(aReply, [this] { Follow(NextWait()); });
   }
 }
 
@@ -199,15 +205,27 @@
 RowFollower::ResetFailures()
 {
   if (failures_ > 0)
-    log_("store_regained", table_, StoreStatus::Done);
+    ReportEvent(FollowEventKind::Regained, StoreStatus::Done, 0);
   failures_ = 0;
 }
 
 void
-RowFollower::Retry(StoreStatus aStatus, std::function<void()> aRetry)
+RowFollower::ReportEvent(FollowEventKind aKind,
+                         StoreStatus aStatus,
+                         std::size_t aReceivedBytes)
+{
+  onEvent_({ aKind,
+             table_,
+             aStatus,
+             scheduler_.Now() - requestedAt_,
+             aReceivedBytes });
+}
+
+void
+RowFollower::Retry(const StoreRows& aReply, std::function<void()> aRetry)
 {
   if (++failures_ == 1)
-    log_("store_lost", table_, aStatus);
+    ReportEvent(FollowEventKind::Lost, aReply.answer, aReply.receivedBytes);
   const Core::Duration longest = std::min<Core::Duration>(
     kRetryDelay * (1 << std::min(failures_ - 1, 8)), kMaxRetryDelay);
   // Half of the delay is random, so that nodes do not retry all at once.
--- a/Libraries/LibAuthority/include/LibAuthority/ChangeFeed.h
+++ b/Libraries/LibAuthority/include/LibAuthority/ChangeFeed.h
@@ -3,6 +3,7 @@
 #include <LibAuthority/CoordinationStore.h>
 #include <LibCore/Clock.h>
 
+#include <memory>
 #include <vector>
 
 namespace Authority {
@@ -39,6 +40,18 @@
   std::uint64_t version = 0;
   /** More rows follow; continue from the key after the last row. */
   bool hasMore = false;
+  /** Bytes of the response that arrived, even if the request failed. */
+  std::size_t receivedBytes = 0;
+};
+
+/** A request to the store that has not been answered completely. */
+class PendingRequest
+{
+public:
+  virtual ~PendingRequest() = default;
+
+  /** Bytes of the response that have arrived so far. */
+  virtual std::size_t ReceivedBytes() const = 0;
 };
 
 /** Reads the rows of the store's tables, or the changes made to them. */
@@ -53,19 +66,21 @@
    * Reads a page of a table's rows, starting at the key aFrom. Calls aDone
    * exactly once, never before ReadRows returns.
    */
-  virtual void ReadRows(const std::string& aTable,
-                        const std::string& aFrom,
-                        RowsHandler aDone) = 0;
+  [[nodiscard]] virtual std::unique_ptr<PendingRequest> ReadRows(
+    const std::string& aTable,
+    const std::string& aFrom,
+    RowsHandler aDone) = 0;
 
   /**
    * Long-polls for rows that changed after the version aAfter. Replies as soon
    * as there are any, or without rows once aWait has passed. Calls aDone
    * exactly once, never before AwaitChanges returns.
    */
-  virtual void AwaitChanges(const std::string& aTable,
-                            std::uint64_t aAfter,
-                            Core::Duration aWait,
-                            RowsHandler aDone) = 0;
+  [[nodiscard]] virtual std::unique_ptr<PendingRequest> AwaitChanges(
+    const std::string& aTable,
+    std::uint64_t aAfter,
+    Core::Duration aWait,
+    RowsHandler aDone) = 0;
 };
 
 } // namespace Authority
--- a/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
+++ b/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
@@ -24,6 +24,38 @@
   Core::Instant requestedAt;
 };
 
+enum class FollowEventKind
+{
+  /** The first request failed after requests had succeeded. */
+  Lost,
+  /** A request has succeeded after others had failed. */
+  Regained,
+  /** The store no longer has the changes that were requested. */
+  HistoryGone,
+  /** A request without a complete response was replaced by another one. */
+  RequestReplaced,
+};
+
+inline constexpr Core::EnumNames<FollowEventKind, 4> kFollowEventNames{ {
+  { { FollowEventKind::Lost, "store_lost" },
+    { FollowEventKind::Regained, "store_regained" },
+    { FollowEventKind::HistoryGone, "store_history_gone" },
+    { FollowEventKind::RequestReplaced, "store_request_replaced" } },
+} };
+
+/** What happened to the requests for a table's rows, for logs and metrics. */
+struct FollowEvent
+{
+  FollowEventKind kind = FollowEventKind::Lost;
+  std::string_view table;
+  /** The status of the request; NoAnswer if it was replaced. */
+  StoreStatus status = StoreStatus::NoAnswer;
+  /** The time since the request was sent. */
+  Core::Duration age{ 0 };
+  /** Bytes of its response that had arrived by then. */
+  std::size_t receivedBytes = 0;
+};
+
 struct FollowTiming
 {
   /** The duration of a long poll without updates from peers. */
@@ -44,9 +76,7 @@
 {
 public:
   using Handler = std::function<void(const FollowedRows&)>;
-  /** Receives a log event, the table and the status that caused it. */
-  using LogSink =
-    std::function<void(std::string_view, std::string_view aTable, StoreStatus)>;
+  using EventSink = std::function<void(const FollowEvent&)>;
 
   /**
    * aReceivesFromPeers returns true while peers would report a change that this
@@ -59,7 +89,7 @@
               Core::Random aRandom,
               std::function<bool()> aReceivesFromPeers,
               Handler aHandler,
-              LogSink aLog);
+              EventSink aOnEvent);
   ~RowFollower();
   RowFollower(const RowFollower&) = delete;
   RowFollower& operator=(const RowFollower&) = delete;
@@ -91,8 +121,11 @@
   /** Replaces a pending long poll by a short one if peers no longer report. */
   void CheckRequestTimeout();
   /** Counts a failed request and runs aRetry after a back-off delay. */
-  void Retry(StoreStatus aStatus, std::function<void()> aRetry);
+  void Retry(const StoreRows& aReply, std::function<void()> aRetry);
   void ResetFailures();
+  void ReportEvent(FollowEventKind aKind,
+                   StoreStatus aStatus,
+                   std::size_t aReceivedBytes);
   /** Begins a request; wraps its handler to ignore it once another begins. */
   ChangeFeed::RowsHandler IfCurrent(ChangeFeed::RowsHandler aHandler);
 
@@ -103,7 +136,7 @@
   Core::Random random_;
   std::function<bool()> receivesFromPeers_;
   Handler handler_;
-  LogSink log_;
+  EventSink onEvent_;
   std::uint64_t version_ = 0;
   std::uint64_t newestRowVersion_ = 0;
   int failures_ = 0;
@@ -111,8 +144,10 @@
   std::uint64_t requestNumber_ = 0;
   /** True while a request for changes is pending. */
   bool isFollowing_ = false;
-  /** The send time and the duration of the latest request for changes. */
+  std::unique_ptr<PendingRequest> pending_;
+  /** When the latest request was sent. */
   Core::Instant requestedAt_{};
+  /** The duration of the latest long poll. */
   Core::Duration wait_{ 0 };
   Core::TimerHandle requestTimer_;
   Core::TimerHandle checkTimer_;
--- a/Libraries/LibWire/HttpClient.cpp
+++ b/Libraries/LibWire/HttpClient.cpp
@@ -19,7 +19,7 @@
 {
 }
 
-void
+HttpCallId
 HttpClient::Call(const Address& aAddress,
                  const HttpCall& aCall,
                  HttpCallback aCallback)
@@ -33,15 +33,29 @@
     });
   if (entry == pool.end()) {
     pool.push_front(
-      { std::make_unique<HttpConnection>(loop_, aAddress, sender_), {} });
+      { std::make_unique<HttpConnection>(loop_, aAddress, sender_) });
     entry = pool.begin();
   }
+  entry->call = ++lastCall_;
   entry->connection->Send(aCall,
                           [this, &pool, entry, callback = std::move(aCallback)](
                             HttpOutcome aOutcome) {
                             Release(pool, entry);
                             callback(std::move(aOutcome));
                           });
+  return entry->call;
+}
+
+std::optional<HttpProgress>
+HttpClient::ProgressOf(HttpCallId aId) const
+{
+  for (const auto& [address, pool] : pools_) {
+    for (const PoolEntry& entry : pool) {
+      if (entry.call == aId && entry.connection->IsBusy())
+        return entry.connection->Progress();
+    }
+  }
+  return std::nullopt;
 }
 
 void
--- a/Libraries/LibWire/HttpConnection.cpp
+++ b/Libraries/LibWire/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibWire/HttpConnection.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 
@@ -40,6 +41,12 @@
                                            aAddress.host.c_str(),
                                            aAddress.port))
 {
+  if (connection_ == nullptr)
+    return;
+  inputObserver_ = evbuffer_add_cb(
+    bufferevent_get_input(evhttp_connection_get_bufferevent(connection_)),
+    &HttpConnection::OnInputChanged,
+    this);
 }
 
 HttpConnection::~HttpConnection()
@@ -53,10 +60,10 @@
 {
   callback_ = std::move(aCallback);
   failedAfterConnect_ = false;
+  progress_ = {};
   if (connection_ == nullptr) {
-    timer_ = loop_.After(Core::Duration::zero(), [this] {
-      Finish({ Delivery::NotSent, {} });
-    });
+    timer_ = loop_.After(Core::Duration::zero(),
+                         [this] { Finish({ Delivery::NotSent }); });
     return;
   }
   evhttp_request* request = evhttp_request_new(&HttpConnection::OnDone, this);
@@ -81,16 +88,27 @@
   }
   timer_ = loop_.After(aCall.timeout, [this] {
     Discard();
-    Finish({ Delivery::TimedOut, {} });
+    Finish({ Delivery::TimedOut });
   });
   if (evhttp_make_request(
         connection_, request, CommandOf(aCall.method), aCall.target.c_str()) ==
       0)
     return;
   Discard();
-  timer_ = loop_.After(Core::Duration::zero(), [this] {
-    Finish({ Delivery::NotSent, {} });
-  });
+  timer_ = loop_.After(Core::Duration::zero(),
+                       [this] { Finish({ Delivery::NotSent }); });
+}
+
+void
+HttpConnection::OnInputChanged(evbuffer*,
+                               const evbuffer_cb_info* aChange,
+                               void* aSelf)
+{
+  if (aChange->n_added == 0)
+    return;
+  auto* self = static_cast<HttpConnection*>(aSelf);
+  self->progress_.receivedBytes += aChange->n_added;
+  self->progress_.lastReceivedAt = self->loop_.Now();
 }
 
 void
@@ -104,7 +122,7 @@
   if (status == 0) {
     const bool refused = aRequest != nullptr && !self->failedAfterConnect_;
     self->Discard();
-    self->Finish({ refused ? Delivery::NotSent : Delivery::Lost, {} });
+    self->Finish({ refused ? Delivery::NotSent : Delivery::Lost });
     return;
   }
   HttpOutcome outcome;
@@ -125,6 +143,7 @@
 HttpConnection::Finish(HttpOutcome aOutcome)
 {
   timer_.reset();
+  aOutcome.receivedBytes = progress_.receivedBytes;
   const HttpCallback callback = std::exchange(callback_, nullptr);
   if (callback)
     callback(std::move(aOutcome));
@@ -136,9 +155,8 @@
   Discard();
   if (callback_ == nullptr)
     return;
-  timer_ = loop_.After(Core::Duration::zero(), [this] {
-    Finish({ Delivery::Lost, {} });
-  });
+  timer_ =
+    loop_.After(Core::Duration::zero(), [this] { Finish({ Delivery::Lost }); });
 }
 
 void
@@ -146,6 +164,10 @@
 {
   if (connection_ == nullptr)
     return;
+  if (inputObserver_ != nullptr)
+    evbuffer_remove_cb_entry(
+      bufferevent_get_input(evhttp_connection_get_bufferevent(connection_)),
+      std::exchange(inputObserver_, nullptr));
   const std::shared_ptr<evhttp_connection> connection(
     std::exchange(connection_, nullptr), &evhttp_connection_free);
   // libevent may be handling this connection further up the call stack, so the
--- a/Libraries/LibWire/include/LibWire/HttpClient.h
+++ b/Libraries/LibWire/include/LibWire/HttpClient.h
@@ -7,6 +7,9 @@
 
 namespace Wire {
 
+/** Identifies a call of an HttpClient; ids are never reused. */
+using HttpCallId = std::uint64_t;
+
 /** Makes HTTP calls over a pool of persistent connections per address. */
 class HttpClient
 {
@@ -15,9 +18,12 @@
   HttpClient(Core::Loop& aLoop, std::string aSender);
 
   /** Makes a call. aCallback runs once, unless the client is destroyed. */
-  void Call(const Address& aAddress,
-            const HttpCall& aCall,
-            HttpCallback aCallback);
+  HttpCallId Call(const Address& aAddress,
+                  const HttpCall& aCall,
+                  HttpCallback aCallback);
+
+  /** Returns the progress of a call; none if it isn't in progress any more. */
+  std::optional<HttpProgress> ProgressOf(HttpCallId aId) const;
 
   /** Returns the number of pooled connections, both busy and idle. */
   std::size_t Connections() const;
@@ -26,7 +32,9 @@
   struct PoolEntry
   {
     std::unique_ptr<HttpConnection> connection;
-    Core::Instant idleSince;
+    Core::Instant idleSince{};
+    /** The latest call on the connection. */
+    HttpCallId call = 0;
   };
   using Pool = std::list<PoolEntry>;
 
@@ -36,6 +44,7 @@
   Core::Loop& loop_;
   std::string sender_;
   std::map<Address, Pool> pools_;
+  HttpCallId lastCall_ = 0;
   Core::TimerHandle sweep_;
 };
 
--- a/Libraries/LibWire/include/LibWire/HttpConnection.h
+++ b/Libraries/LibWire/include/LibWire/HttpConnection.h
@@ -7,10 +7,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+struct evbuffer;
+struct evbuffer_cb_entry;
+struct evbuffer_cb_info;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -58,7 +62,9 @@
 {
   Delivery delivery = Delivery::Lost;
   /** Valid only if delivery is Answered. */
-  HttpResponse answer;
+  HttpResponse answer{};
+  /** Bytes received for this call, headers included, even if it failed. */
+  std::size_t receivedBytes = 0;
 
   bool IsOk() const
   {
@@ -68,6 +74,15 @@
 };
 using HttpCallback = std::function<void(HttpOutcome)>;
 
+/** How much of the response to a call in progress has arrived. */
+struct HttpProgress
+{
+  /** Bytes received for this call, headers included. */
+  std::size_t receivedBytes = 0;
+  /** When the latest of them arrived; none before the first. */
+  std::optional<Core::Instant> lastReceivedAt;
+};
+
 /** A client connection that carries one call at a time. */
 class HttpConnection
 {
@@ -87,6 +102,9 @@
   /** False after a failed call or Close; the object must then be discarded. */
   bool IsUsable() const { return connection_ != nullptr; }
 
+  /** The progress of the call that is being made, or of the latest one. */
+  const HttpProgress& Progress() const { return progress_; }
+
   /** Closes the connection; a call in progress ends as Lost. */
   void Close();
 
@@ -95,11 +113,17 @@
   /** Marks the connection unusable and frees it in a deferred task. */
   void Discard();
   static void OnDone(evhttp_request* aRequest, void* aSelf);
+  static void OnInputChanged(evbuffer* aInput,
+                             const evbuffer_cb_info* aChange,
+                             void* aSelf);
 
   Core::Loop& loop_;
   Address address_;
   std::string sender_;
   evhttp_connection* connection_;
+  /** Observes the bytes that arrive on connection_. */
+  evbuffer_cb_entry* inputObserver_ = nullptr;
+  HttpProgress progress_;
   HttpCallback callback_;
   Core::TimerHandle timer_;
   bool failedAfterConnect_ = false;
--- a/Tests/LibAuthority/TestRowFollower.cpp
+++ b/Tests/LibAuthority/TestRowFollower.cpp
@@ -9,6 +9,8 @@
 
 using namespace std::chrono_literals;
 using Authority::FollowedRows;
+using Authority::FollowEventKind;
+using Authority::PendingRequest;
 using Authority::StoredRow;
 using Authority::StoreRows;
 using Authority::StoreStatus;
@@ -18,6 +20,13 @@
 constexpr Core::Duration kOneWay = 2ms;
 constexpr Authority::FollowTiming kTiming{ 2s, 12s, 100ms };
 
+/** A request of whose response nothing has arrived. */
+class UnansweredRequest final : public PendingRequest
+{
+public:
+  std::size_t ReceivedBytes() const override { return 0; }
+};
+
 /** A store with one table, and a follower of it. */
 class Fixture : public Authority::ChangeFeed
 {
@@ -31,8 +40,8 @@
         Core::Random(1),
         [this] { return receivesFromPeers; },
         [this](const FollowedRows& aRows) { OnRows(aRows); },
-        [this](std::string_view aWhat, std::string_view, StoreStatus) {
-          logged.emplace_back(aWhat);
+        [this](const Authority::FollowEvent& aEvent) {
+          events.push_back(aEvent.kind);
         })
   {
   }
@@ -57,9 +66,9 @@
     newestRequestedAt = aRows.requestedAt;
   }
 
-  void ReadRows(const std::string&,
-                const std::string& aFrom,
-                RowsHandler aDone) override
+  std::unique_ptr<PendingRequest> ReadRows(const std::string&,
+                                           const std::string& aFrom,
+                                           RowsHandler aDone) override
   {
     ++requests;
     time.DeferFor(2 * kOneWay, [this, aFrom, aDone] {
@@ -77,17 +86,18 @@
       }
       aDone(reply);
     });
+    return std::make_unique<UnansweredRequest>();
   }
 
-  void AwaitChanges(const std::string&,
-                    std::uint64_t aAfter,
-                    Core::Duration aWait,
-                    RowsHandler aDone) override
+  std::unique_ptr<PendingRequest> AwaitChanges(const std::string&,
+                                               std::uint64_t aAfter,
+                                               Core::Duration aWait,
+                                               RowsHandler aDone) override
   {
     ++requests;
     lastWait = aWait;
     if (isUnresponsive)
-      return;
+      return std::make_unique<UnansweredRequest>();
     const auto isDone = std::make_shared<bool>(false);
     const auto reply = [this, aAfter, aDone, isDone] {
       if (std::exchange(*isDone, true))
@@ -108,6 +118,7 @@
     else
       waiting_.push_back(reply);
     time.DeferFor(kOneWay + aWait, reply);
+    return std::make_unique<UnansweredRequest>();
   }
 
   Simulation::VirtualTime time;
@@ -124,7 +135,7 @@
   Core::Duration lastWait{ 0 };
   Core::Instant newestRequestedAt{};
   std::map<std::string, std::uint64_t> receivedVersions;
-  std::vector<std::string> logged;
+  std::vector<FollowEventKind> events;
   Authority::RowFollower follower;
 
 private:
@@ -237,7 +248,7 @@
   failure.reset();
   AdvanceBy(100ms);
   BOOST_TEST(snapshots >= 2);
-  BOOST_TEST(logged.front() == "store_history_gone");
+  BOOST_TEST((events.back() == FollowEventKind::HistoryGone));
 }
 
 BOOST_AUTO_TEST_CASE(RetriesARefusedRequestWithBackoff)
@@ -253,8 +264,8 @@
   Put("a");
   AdvanceBy(700ms);
   BOOST_TEST(receivedVersions.contains("a"));
-  BOOST_TEST(logged.front() == "store_lost");
-  BOOST_TEST(logged.back() == "store_regained");
+  BOOST_TEST((events[1] == FollowEventKind::Lost));
+  BOOST_TEST((events.back() == FollowEventKind::Regained));
 }
 
 BOOST_AUTO_TEST_CASE(RefreshIsAnsweredImmediately)
