RowFollower: Let a large response arrive before asking again

What callers saw: at one node, 404 for routes of a configuration acknowledged more than 5 s before, and statements handled by an older version, for as long as 20 s.

Cause: a live-lock of retries. A follower asked again whenever its request was older than 0.5 s and a peer had seen a newer row; the earlier response was discarded but still transferred, so the next one took longer. With thousands of routes a response takes longer than that over a small VM's link. The holder of the failover duty compares versions in each 50 ms tick, so it was the one that never received a configuration. Each response also had to be complete within 0.7 s, so that reading the whole table after the history was dropped failed in the same way.

Change: only a long poll of whose response nothing has arrived is replaced, and it is cancelled first. Requests for rows have a limit for the first byte and for the time between parts instead of one for the whole response.

The test of an unresponsive connection now makes the long poll itself unresponsive, and the stand-in reports the time-out as the store's client does; it is as strict as before, since it still requires the row within 50 ms of the peer's report.

--- a/Libraries/LibAuthority/RowFollower.cpp
+++ b/Libraries/LibAuthority/RowFollower.cpp
@@ -15,8 +15,8 @@
 constexpr Core::Duration kCheckInterval = std::chrono::milliseconds(200);
 
 /**
- * A change that peers have seen is delivered within a round trip. A longer
- * delay indicates a broken connection.
+ * The response with a change that peers have seen begins within a round trip. A
+ * longer delay indicates a broken connection.
  */
 constexpr Core::Duration kResponseTimeout = std::chrono::milliseconds(500);
 
@@ -50,11 +50,6 @@
 {
 }
 
-RowFollower::~RowFollower()
-{
-  *alive_ = false;
-}
-
 void
 RowFollower::Start()
 {
@@ -63,18 +58,6 @@
   ReadSnapshot({}, {});
 }
 
-ChangeFeed::RowsHandler
-RowFollower::IfCurrent(ChangeFeed::RowsHandler aHandler)
-{
-  return [this,
-          alive = alive_,
-          requestNumber = ++requestNumber_,
-          handler = std::move(aHandler)](StoreRows aReply) {
-    if (*alive && requestNumber == requestNumber_)
-      handler(std::move(aReply));
-  };
-}
-
 void
 RowFollower::ReadSnapshot(FollowedRows aRows, const std::string& aFrom)
 {
@@ -83,9 +66,9 @@
   if (aRows.rows.empty())
     aRows.requestedAt = requestedAt_;
   pending_ = feed_.ReadRows(
-    table_, aFrom, IfCurrent([this, rows = std::move(aRows)](StoreRows aReply) {
+    table_, aFrom, [this, rows = std::move(aRows)](StoreRows aReply) {
       OnSnapshot(rows, std::move(aReply));
-    }));
+    });
 }
 
 void
@@ -136,16 +119,18 @@
     ReportEvent(FollowEventKind::RequestReplaced,
                 StoreStatus::NoAnswer,
                 pending_->ReceivedBytes());
+  // Cancelled first, so that its response takes no bandwidth from the next one.
+  pending_.reset();
   isFollowing_ = true;
   requestedAt_ = scheduler_.Now();
   wait_ = aWait;
-  pending_ = feed_.AwaitChanges(
-    table_,
-    version_,
-    aWait,
-    IfCurrent([this, requestedAt = requestedAt_](const auto& aReply) {
-      OnChanges(aReply, requestedAt);
-    }));
+  pending_ =
+    feed_.AwaitChanges(table_,
+                       version_,
+                       aWait,
+                       [this, requestedAt = requestedAt_](const auto& aReply) {
+                         OnChanges(aReply, requestedAt);
+                       });
 }
 
 void
@@ -177,27 +162,32 @@
   }
 }
 
+bool
+RowFollower::IsPollIdle() const
+{
+  return isFollowing_ && wait_ > Core::Duration::zero() &&
+         pending_->ReceivedBytes() == 0;
+}
+
 void
 RowFollower::CheckRequestTimeout()
 {
-  if (!isFollowing_ || wait_ <= timing_.shortWait || receivesFromPeers_())
-    return;
-  Follow(timing_.shortWait);
+  if (IsPollIdle() && wait_ > timing_.shortWait && !receivesFromPeers_())
+    Follow(timing_.shortWait);
 }
 
 void
 RowFollower::OnSeenByPeer(std::uint64_t aVersion)
 {
-  const bool isOverdue =
-    scheduler_.Now() - requestedAt_ > kResponseTimeout && isFollowing_;
-  if (aVersion > newestRowVersion_ && isOverdue)
+  const bool isOverdue = scheduler_.Now() - requestedAt_ > kResponseTimeout;
+  if (aVersion > newestRowVersion_ && isOverdue && IsPollIdle())
     Follow(Core::Duration::zero());
 }
 
 void
 RowFollower::Refresh()
 {
-  if (isFollowing_ && wait_ > Core::Duration::zero())
+  if (IsPollIdle())
     Follow(Core::Duration::zero());
 }
 
--- a/Libraries/LibAuthority/include/LibAuthority/ChangeFeed.h
+++ b/Libraries/LibAuthority/include/LibAuthority/ChangeFeed.h
@@ -44,7 +44,10 @@
   std::size_t receivedBytes = 0;
 };
 
-/** A request to the store that has not been answered completely. */
+/**
+ * A request to the store that has not been answered completely. Its destruction
+ * cancels it: its handler never runs, and no more of its response is received.
+ */
 class PendingRequest
 {
 public:
@@ -64,7 +67,9 @@
 
   /**
    * Reads a page of a table's rows, starting at the key aFrom. Calls aDone
-   * exactly once, never before ReadRows returns.
+   * exactly once, never before ReadRows returns, unless the request is
+   * cancelled. A request fails if its response doesn't begin or stops arriving,
+   * but not for the time that a large response takes.
    */
   [[nodiscard]] virtual std::unique_ptr<PendingRequest> ReadRows(
     const std::string& aTable,
@@ -73,8 +78,8 @@
 
   /**
    * Long-polls for rows that changed after the version aAfter. Replies as soon
-   * as there are any, or without rows once aWait has passed. Calls aDone
-   * exactly once, never before AwaitChanges returns.
+   * as there are any, or without rows once aWait has passed. Otherwise like
+   * ReadRows.
    */
   [[nodiscard]] virtual std::unique_ptr<PendingRequest> AwaitChanges(
     const std::string& aTable,
--- a/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
+++ b/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
@@ -90,7 +90,6 @@
               std::function<bool()> aReceivesFromPeers,
               Handler aHandler,
               EventSink aOnEvent);
-  ~RowFollower();
   RowFollower(const RowFollower&) = delete;
   RowFollower& operator=(const RowFollower&) = delete;
 
@@ -101,9 +100,9 @@
   std::uint64_t NewestRowVersion() const { return newestRowVersion_; }
 
   /**
-   * Reports that a peer has received a row of this version. Repeats the request
-   * if that row is unknown here and the pending request should have returned
-   * it.
+   * Reports that a peer has received a row of this version. Replaces a pending
+   * long poll that should have returned that row and of whose response nothing
+   * has arrived.
    */
   void OnSeenByPeer(std::uint64_t aVersion);
 
@@ -126,8 +125,13 @@
   void ReportEvent(FollowEventKind aKind,
                    StoreStatus aStatus,
                    std::size_t aReceivedBytes);
-  /** Begins a request; wraps its handler to ignore it once another begins. */
-  ChangeFeed::RowsHandler IfCurrent(ChangeFeed::RowsHandler aHandler);
+  /**
+   * True while a long poll is pending of whose response nothing has arrived.
+   * Only such a request may be replaced. A response that is arriving would
+   * otherwise be requested again before it is complete, and one that takes
+   * longer than the interval between replacements would never be received.
+   */
+  bool IsPollIdle() const;
 
   Core::Scheduler& scheduler_;
   ChangeFeed& feed_;
@@ -140,10 +144,9 @@
   std::uint64_t version_ = 0;
   std::uint64_t newestRowVersion_ = 0;
   int failures_ = 0;
-  /** The number of the latest request; replies to earlier ones are ignored. */
-  std::uint64_t requestNumber_ = 0;
   /** True while a request for changes is pending. */
   bool isFollowing_ = false;
+  /** The latest request. */
   std::unique_ptr<PendingRequest> pending_;
   /** When the latest request was sent. */
   Core::Instant requestedAt_{};
@@ -151,7 +154,6 @@
   Core::Duration wait_{ 0 };
   Core::TimerHandle requestTimer_;
   Core::TimerHandle checkTimer_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace Authority
--- a/Libraries/LibWire/HttpClient.cpp
+++ b/Libraries/LibWire/HttpClient.cpp
@@ -46,16 +46,32 @@
   return entry->call;
 }
 
-std::optional<HttpProgress>
-HttpClient::ProgressOf(HttpCallId aId) const
+std::size_t
+HttpClient::ReceivedBytes(HttpCallId aId) const
 {
   for (const auto& [address, pool] : pools_) {
     for (const PoolEntry& entry : pool) {
       if (entry.call == aId && entry.connection->IsBusy())
-        return entry.connection->Progress();
+        return entry.connection->ReceivedBytes();
     }
   }
-  return std::nullopt;
+  return 0;
+}
+
+void
+HttpClient::Cancel(HttpCallId aId)
+{
+  for (auto& [address, pool] : pools_) {
+    const auto entry =
+      std::find_if(pool.begin(), pool.end(), [aId](const PoolEntry& aEntry) {
+        return aEntry.call == aId && aEntry.connection->IsBusy();
+      });
+    if (entry == pool.end())
+      continue;
+    entry->connection->Cancel();
+    Release(pool, entry);
+    return;
+  }
 }
 
 void
--- a/Libraries/LibWire/HttpConnection.cpp
+++ b/Libraries/LibWire/HttpConnection.cpp
@@ -51,8 +51,7 @@
 
 HttpConnection::~HttpConnection()
 {
-  callback_ = nullptr;
-  Discard();
+  Cancel();
 }
 
 void
@@ -60,7 +59,7 @@
 {
   callback_ = std::move(aCallback);
   failedAfterConnect_ = false;
-  progress_ = {};
+  receivedBytes_ = 0;
   if (connection_ == nullptr) {
     timer_ = loop_.After(Core::Duration::zero(),
                          [this] { Finish({ Delivery::NotSent }); });
@@ -86,10 +85,9 @@
                  aCall.body.data(),
                  aCall.body.size());
   }
-  timer_ = loop_.After(aCall.timeout, [this] {
-    Discard();
-    Finish({ Delivery::TimedOut });
-  });
+  deadline_ = loop_.Now() + aCall.timeout;
+  stallTimeout_ = aCall.stallTimeout;
+  timer_ = loop_.After(aCall.timeout, [this] { CheckTimeout(); });
   if (evhttp_make_request(
         connection_, request, CommandOf(aCall.method), aCall.target.c_str()) ==
       0)
@@ -104,11 +102,29 @@
                                const evbuffer_cb_info* aChange,
                                void* aSelf)
 {
-  if (aChange->n_added == 0)
-    return;
   auto* self = static_cast<HttpConnection*>(aSelf);
-  self->progress_.receivedBytes += aChange->n_added;
-  self->progress_.lastReceivedAt = self->loop_.Now();
+  if (aChange->n_added == 0 || self->callback_ == nullptr)
+    return;
+  const bool isFirstPart = self->receivedBytes_ == 0;
+  self->receivedBytes_ += aChange->n_added;
+  if (!self->stallTimeout_)
+    return;
+  self->deadline_ = self->loop_.Now() + *self->stallTimeout_;
+  // The timer of the first part may be far too late for a stall.
+  if (isFirstPart)
+    self->CheckTimeout();
+}
+
+void
+HttpConnection::CheckTimeout()
+{
+  const Core::Instant now = loop_.Now();
+  if (now < deadline_) {
+    timer_ = loop_.After(deadline_ - now, [this] { CheckTimeout(); });
+    return;
+  }
+  Discard();
+  Finish({ Delivery::TimedOut });
 }
 
 void
@@ -143,12 +159,20 @@
 HttpConnection::Finish(HttpOutcome aOutcome)
 {
   timer_.reset();
-  aOutcome.receivedBytes = progress_.receivedBytes;
+  aOutcome.receivedBytes = receivedBytes_;
   const HttpCallback callback = std::exchange(callback_, nullptr);
   if (callback)
     callback(std::move(aOutcome));
 }
 
+void
+HttpConnection::Cancel()
+{
+  timer_.reset();
+  callback_ = nullptr;
+  Discard();
+}
+
 void
 HttpConnection::Close()
 {
--- a/Libraries/LibWire/include/LibWire/HttpClient.h
+++ b/Libraries/LibWire/include/LibWire/HttpClient.h
@@ -22,8 +22,14 @@
                   const HttpCall& aCall,
                   HttpCallback aCallback);
 
-  /** Returns the progress of a call; none if it isn't in progress any more. */
-  std::optional<HttpProgress> ProgressOf(HttpCallId aId) const;
+  /** Bytes received for a call; 0 if it isn't in progress any more. */
+  std::size_t ReceivedBytes(HttpCallId aId) const;
+
+  /**
+   * Ends a call and closes its connection; its callback then never runs. Does
+   * nothing if the call isn't in progress any more.
+   */
+  void Cancel(HttpCallId aId);
 
   /** Returns the number of pooled connections, both busy and idle. */
   std::size_t Connections() const;
--- a/Libraries/LibWire/include/LibWire/HttpConnection.h
+++ b/Libraries/LibWire/include/LibWire/HttpConnection.h
@@ -32,7 +32,7 @@
   NotSent,
   /** The connection failed after the request may have been sent. */
   Lost,
-  /** No response within the timeout; the connection is closed, not reused. */
+  /** A timeout of the call passed; the connection is closed, not reused. */
   TimedOut,
 };
 
@@ -54,7 +54,14 @@
   std::string secret;
   /** Additional headers as name and value. */
   std::vector<std::pair<std::string, std::string>> headers;
+  /** The limit for the complete response, unless stallTimeout is set. */
   Core::Duration timeout{ 0 };
+  /**
+   * If set, `timeout` is the limit for the first byte of the response, and
+   * each later part must arrive within this time of the one before. For large
+   * responses, whose duration depends on the bandwidth.
+   */
+  std::optional<Core::Duration> stallTimeout{};
 };
 
 /** The result of a call. */
@@ -74,15 +81,6 @@
 };
 using HttpCallback = std::function<void(HttpOutcome)>;
 
-/** How much of the response to a call in progress has arrived. */
-struct HttpProgress
-{
-  /** Bytes received for this call, headers included. */
-  std::size_t receivedBytes = 0;
-  /** When the latest of them arrived; none before the first. */
-  std::optional<Core::Instant> lastReceivedAt;
-};
-
 /** A client connection that carries one call at a time. */
 class HttpConnection
 {
@@ -97,19 +95,23 @@
   /** Makes a call. The callback runs once, and never from within Send. */
   void Send(const HttpCall& aCall, HttpCallback aCallback);
 
+  /** Ends a call in progress, whose callback then never runs. */
+  void Cancel();
+
   bool IsBusy() const { return callback_ != nullptr; }
 
   /** False after a failed call or Close; the object must then be discarded. */
   bool IsUsable() const { return connection_ != nullptr; }
 
-  /** The progress of the call that is being made, or of the latest one. */
-  const HttpProgress& Progress() const { return progress_; }
+  /** Bytes received for the call in progress, or for the latest one. */
+  std::size_t ReceivedBytes() const { return receivedBytes_; }
 
   /** Closes the connection; a call in progress ends as Lost. */
   void Close();
 
 private:
   void Finish(HttpOutcome aOutcome);
+  void CheckTimeout();
   /** Marks the connection unusable and frees it in a deferred task. */
   void Discard();
   static void OnDone(evhttp_request* aRequest, void* aSelf);
@@ -123,7 +125,10 @@
   evhttp_connection* connection_;
   /** Observes the bytes that arrive on connection_. */
   evbuffer_cb_entry* inputObserver_ = nullptr;
-  HttpProgress progress_;
+  std::size_t receivedBytes_ = 0;
+  /** When the call times out if no further part of the response arrives. */
+  Core::Instant deadline_{};
+  std::optional<Core::Duration> stallTimeout_;
   HttpCallback callback_;
   Core::TimerHandle timer_;
   bool failedAfterConnect_ = false;
--- a/Tests/LibAuthority/TestRowFollower.cpp
+++ b/Tests/LibAuthority/TestRowFollower.cpp
@@ -23,11 +23,32 @@
 
 constexpr Core::Duration kTransferTimes[] = { 100ms, 700ms, 3s };
 
-/** A request of whose response nothing has arrived. */
-class UnansweredRequest final : public PendingRequest
+/** The store's client reports a request without a response after this. */
+constexpr Core::Duration kRequestTimeout = 700ms;
+
+/** A request and its response on their way. */
+struct Exchange
+{
+  bool isCancelled = false;
+  bool isAnswered = false;
+  std::size_t receivedBytes = 0;
+};
+
+class FakeRequest final : public PendingRequest
 {
 public:
-  std::size_t ReceivedBytes() const override { return 0; }
+  explicit FakeRequest(std::shared_ptr<Exchange> aExchange)
+    : exchange_(std::move(aExchange))
+  {
+  }
+  ~FakeRequest() override { exchange_->isCancelled = true; }
+  std::size_t ReceivedBytes() const override
+  {
+    return exchange_->receivedBytes;
+  }
+
+private:
+  std::shared_ptr<Exchange> exchange_;
 };
 
 /** A store with one table, and a follower of it. */
@@ -74,7 +95,10 @@
                                            RowsHandler aDone) override
   {
     ++requests;
-    time.DeferFor(2 * kOneWay, [this, aFrom, aDone] {
+    const auto exchange = std::make_shared<Exchange>();
+    time.DeferFor(2 * kOneWay, [this, exchange, aFrom, aDone] {
+      if (exchange->isCancelled)
+        return;
       StoreRows reply{
         failure.value_or(StoreStatus::Done), {}, version, false
       };
@@ -89,7 +113,7 @@
       }
       aDone(reply);
     });
-    return std::make_unique<UnansweredRequest>();
+    return std::make_unique<FakeRequest>(exchange);
   }
 
   std::unique_ptr<PendingRequest> AwaitChanges(const std::string&,
@@ -99,29 +123,40 @@
   {
     ++requests;
     lastWait = aWait;
-    if (isUnresponsive)
-      return std::make_unique<UnansweredRequest>();
-    const auto isDone = std::make_shared<bool>(false);
-    const auto reply = [this, aAfter, aDone, isDone] {
-      if (std::exchange(*isDone, true))
-        return;
-      time.DeferFor(kOneWay + transferTime, [this, aAfter, aDone] {
-        StoreRows result{
-          failure.value_or(StoreStatus::Done), {}, version, false
-        };
-        for (const auto& [key, row] : rows) {
-          if (row.version > aAfter)
-            result.rows.push_back(row);
-        }
-        aDone(result);
+    const auto exchange = std::make_shared<Exchange>();
+    if (isUnresponsive) {
+      time.DeferFor(aWait + kRequestTimeout, [exchange, aDone] {
+        if (!exchange->isCancelled)
+          aDone(StoreRows{});
       });
+      return std::make_unique<FakeRequest>(exchange);
+    }
+    const auto reply = [this, exchange, aAfter, aDone] {
+      if (!std::exchange(exchange->isAnswered, true))
+        SendChanges(exchange, aAfter, aDone);
     };
     if (version > aAfter || failure)
       time.DeferFor(kOneWay, reply);
     else
       waiting_.push_back(reply);
     time.DeferFor(kOneWay + aWait, reply);
-    return std::make_unique<UnansweredRequest>();
+    return std::make_unique<FakeRequest>(exchange);
+  }
+
+  void SendChanges(const std::shared_ptr<Exchange>& aExchange,
+                   std::uint64_t aAfter,
+                   const RowsHandler& aDone)
+  {
+    StoreRows result{ failure.value_or(StoreStatus::Done), {}, version, false };
+    for (const auto& [key, row] : rows) {
+      if (row.version > aAfter)
+        result.rows.push_back(row);
+    }
+    time.DeferFor(kOneWay, [aExchange] { aExchange->receivedBytes = 1; });
+    time.DeferFor(kOneWay + transferTime, [aExchange, result, aDone] {
+      if (!aExchange->isCancelled)
+        aDone(result);
+    });
   }
 
   Simulation::VirtualTime time;
@@ -217,10 +252,8 @@
 BOOST_AUTO_TEST_CASE(DetectsAnUnresponsiveConnectionByVersionsPeersHaveSeen)
 {
   receivesFromPeers = true;
-  follower.Start();
-  AdvanceBy(100ms);
   isUnresponsive = true;
-  follower.Refresh();
+  follower.Start();
   AdvanceBy(3s);
   isUnresponsive = false;
   Put("a");
--- a/Tests/LibWire/TestHttpConnection.cpp
+++ b/Tests/LibWire/TestHttpConnection.cpp
@@ -1,8 +1,9 @@
 #define BOOST_TEST_MODULE HttpConnection
-#include <LibWire/HttpConnection.h>
+#include <LibWire/HttpClient.h>
 #include <LibWire/HttpServer.h>
 #include <LibWire/Secret.h>
 
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <arpa/inet.h>
@@ -83,6 +84,106 @@
   ::close(listener);
 }
 
+/** How a server sends a response of several parts, and what becomes of it. */
+struct SlowResponseCase
+{
+  const char* name;
+  int parts;
+  /** The number of parts that are sent; fewer than `parts` is a stall. */
+  int sentParts;
+  bool hasStallTimeout;
+  Delivery delivery;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const SlowResponseCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const SlowResponseCase kSlowResponses[] = {
+  { "all parts, limit for the whole", 8, 8, false, Delivery::TimedOut },
+  { "all parts, limit for a stall", 8, 8, true, Delivery::Answered },
+  { "a stall before the first part", 8, 0, true, Delivery::TimedOut },
+  { "a stall in the middle", 8, 4, true, Delivery::TimedOut },
+};
+
+/**
+ * A response whose parts keep arriving is received whole, however long it
+ * takes, but one that stops arriving ends the call.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       AStallTimeoutLimitsTheTimeBetweenParts,
+                       boost::unit_test::data::make(kSlowResponses))
+{
+  constexpr milliseconds kPartInterval{ 50 };
+  constexpr milliseconds kTimeout{ 200 };
+  const auto [listener, address] = Listen();
+  HttpConnection connection(loop, address, "");
+  int socket = -1;
+  int sent = 0;
+  const auto sender =
+    loop.Every(kPartInterval, [&, listener = listener, &test = sample] {
+      if (socket < 0) {
+        socket = ::accept(listener, nullptr, nullptr);
+        return;
+      }
+      if (sent == test.sentParts)
+        return;
+      std::string part = "xxxx";
+      if (sent++ == 0)
+        part = "HTTP/1.1 200 OK\r\nContent-Length: " +
+               std::to_string(4 * test.parts) + "\r\n\r\n" + part;
+      BOOST_TEST(::send(socket, part.data(), part.size(), 0) > 0);
+    });
+  HttpCall call;
+  call.target = "/x";
+  call.timeout = kTimeout;
+  if (sample.hasStallTimeout)
+    call.stallTimeout = kTimeout;
+  HttpOutcome outcome;
+  connection.Send(call, [&](HttpOutcome aOutcome) {
+    outcome = std::move(aOutcome);
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_CHECK(outcome.delivery == sample.delivery);
+  BOOST_TEST((outcome.receivedBytes > 0) == (sample.sentParts > 0));
+  ::close(socket);
+  ::close(listener);
+}
+
+/** A response that nobody awaits must not take bandwidth from the next one. */
+BOOST_FIXTURE_TEST_CASE(ACancelledCallClosesItsConnection, Fixture)
+{
+  const auto [listener, address] = Listen();
+  HttpClient client(loop, "");
+  HttpCall call;
+  call.target = "/x";
+  call.timeout = milliseconds(5000);
+  bool hasEnded = false;
+  const HttpCallId id =
+    client.Call(address, call, [&](const HttpOutcome&) { hasEnded = true; });
+  ssize_t received = -1;
+  const auto server = loop.After(milliseconds(50), [&, listener = listener] {
+    const int socket = ::accept(listener, nullptr, nullptr);
+    client.Cancel(id);
+    loop.Defer([&, socket] {
+      std::string request(1024, 'x');
+      do
+        received = ::recv(socket, request.data(), request.size(), 0);
+      while (received > 0);
+      ::close(socket);
+      loop.Stop();
+    });
+  });
+  loop.Run();
+  BOOST_TEST(received <= 0);
+  BOOST_TEST(!hasEnded);
+  BOOST_TEST(client.Connections() == 0U);
+  ::close(listener);
+}
+
 BOOST_FIXTURE_TEST_CASE(AServerDispatchesToItsRoutes, Fixture)
 {
   HttpServer server(loop);
