Agents, proxies, peers: Limit stalls of a response, not its duration

Cause: the same fixed limit for a response whose size grows with the deployment: the VM list and the rows at HttpPlatform, the view at ViewFollower, the configuration's text at PeerGossip, and all records at PeerClient. None of them asks again while a request is pending, so none of them amplifies the load.

Change: their calls set the limit between parts. The limit itself is tested in TestHttpConnection.

--- a/Libraries/LibAgent/PeerGossip.cpp
+++ b/Libraries/LibAgent/PeerGossip.cpp
@@ -175,6 +175,7 @@
     call.body = boost::json::serialize(aBody);
   call.secret = secret_;
   call.timeout = aMethod == HttpMethod::Post ? kPeerTimeout : kFetchTimeout;
+  call.stallTimeout = call.timeout;
   metrics_.Count("agent_messages_total");
   metrics_.Count("agent_bytes_total", call.body.size());
   client_.Call(aAddress, call, std::move(aCallback));
--- a/Libraries/LibPeers/PeerClient.cpp
+++ b/Libraries/LibPeers/PeerClient.cpp
@@ -12,7 +12,10 @@
 
 namespace {
 
-/** A peer responds from memory, so a response takes one round trip. */
+/**
+ * A peer responds from memory, so a response begins within one round trip. Also
+ * limits the time between parts of a large one.
+ */
 constexpr Core::Duration kCallTimeout = std::chrono::milliseconds(400);
 
 constexpr std::int64_t kMaxInt64 = std::numeric_limits<std::int64_t>::max();
@@ -76,6 +79,7 @@
   call.target = std::move(aTarget);
   call.body = boost::json::serialize(aBody);
   call.timeout = kCallTimeout;
+  call.stallTimeout = kCallTimeout;
   client_.Call(
     aMember.addresses.peers,
     call,
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -91,6 +91,7 @@
   Wire::HttpCall call;
   call.target = aTarget;
   call.timeout = kRequestTimeout;
+  call.stallTimeout = kRequestTimeout;
   client_.Call(
     address_,
     call,
@@ -141,6 +142,7 @@
   Wire::HttpCall call;
   call.target = "/v1/vms?known=" + std::to_string(aKnownVersion);
   call.timeout = kRequestTimeout;
+  call.stallTimeout = kRequestTimeout;
   client_.Call(
     address_,
     call,
--- a/Libraries/LibProxy/ViewFollower.cpp
+++ b/Libraries/LibProxy/ViewFollower.cpp
@@ -59,6 +59,7 @@
       "&revision=" + std::to_string(view_->revision) + "&agent=" + view_->agent;
   call.secret = secret_;
   call.timeout = kPollTimeout;
+  call.stallTimeout = kPollTimeout;
   requestedAt_ = loop_.Now();
   client_.Call(NextAgent(), call, [this](const Wire::HttpOutcome& aOutcome) {
     HandleReply(aOutcome);
