--- a/Libraries/LibWire/HttpConnection.cpp
+++ b/Libraries/LibWire/HttpConnection.cpp
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 
 #include <cstdlib>
 #include <utility>
@@ -144,6 +145,10 @@
   HttpOutcome outcome;
   outcome.delivery = Delivery::Answered;
   outcome.answer.status = status;
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next)
+    outcome.answer.headers.emplace_back(header->key, header->value);
   evbuffer* input = evhttp_request_get_input_buffer(aRequest);
   outcome.answer.body.resize(evbuffer_get_length(input));
   evbuffer_remove(
--- a/Libraries/LibWire/HttpServer.cpp
+++ b/Libraries/LibWire/HttpServer.cpp
@@ -336,6 +336,8 @@
   --inProgress_;
   evkeyvalq* headers = evhttp_request_get_output_headers(aRequest);
   evhttp_add_header(headers, "Content-Type", aResponse.contentType.c_str());
+  for (const auto& [name, value] : aResponse.headers)
+    evhttp_add_header(headers, name.c_str(), value.c_str());
   if (aResponse.retryAfterSeconds > 0) {
     const std::string seconds = std::to_string(aResponse.retryAfterSeconds);
     evhttp_add_header(headers, "Retry-After", seconds.c_str());
--- a/Libraries/LibWire/include/LibWire/HttpMessage.h
+++ b/Libraries/LibWire/include/LibWire/HttpMessage.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Wire {
@@ -71,6 +72,11 @@
   /** Seconds for a Retry-After header; 0 leaves it out. */
   int retryAfterSeconds = 0;
   std::string contentType = "application/json";
+  /** A sent response's additional headers; all headers of a received one. */
+  std::vector<std::pair<std::string, std::string>> headers{};
+
+  /** Returns a header's value, or null; case doesn't matter in aName. */
+  const std::string* FindHeader(const std::string& aName) const;
 
   /** Returns a response with aBody serialized as JSON. */
   static HttpResponse Json(HttpStatus aStatus, const boost::json::value& aBody);
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -13,6 +13,9 @@
 constexpr int kConflict = 412;
 constexpr int kGone = 410;
 
+/** The header with the number of the store's restorations. */
+constexpr const char* kEraHeader = "Store-Era";
+
 std::string
 QueryParameter(const Wire::HttpRequest& aRequest, const std::string& aName)
 {
@@ -37,6 +40,27 @@
   return row;
 }
 
+/** Adds the store's era to each response. */
+class ReplyWithEra final : public Wire::HttpReply
+{
+public:
+  ReplyWithEra(Wire::HttpReplyHandle aReply, const std::uint64_t& aEra)
+    : reply_(std::move(aReply))
+    , era_(aEra)
+  {
+  }
+
+  void Send(Wire::HttpResponse aResponse) override
+  {
+    aResponse.headers.emplace_back(kEraHeader, std::to_string(era_));
+    reply_->Send(std::move(aResponse));
+  }
+
+private:
+  Wire::HttpReplyHandle reply_;
+  const std::uint64_t& era_;
+};
+
 Wire::HttpResponse
 WithoutRows(int aStatus)
 {
@@ -65,22 +89,23 @@
 void
 StandInStore::AddRoutes()
 {
-  const auto route =
-    [this](Wire::HttpMethod aMethod,
-           const std::string& aPath,
-           void (StandInStore::*aHandler)(const Wire::HttpRequest&,
-                                          const Wire::HttpReplyHandle&)) {
-      server_.Route(aMethod,
-                    aPath,
-                    [this, aHandler](const Wire::HttpRequest& aRequest,
-                                     const Wire::HttpReplyHandle& aReply) {
-                      if (isDown)
-                        aReply->Send(Wire::HttpResponse::Error(
-                          Wire::HttpStatus::ServiceUnavailable, "down"));
-                      else
-                        (this->*aHandler)(aRequest, aReply);
-                    });
-    };
+  const auto route = [this](Wire::HttpMethod aMethod,
+                            const std::string& aPath,
+                            void (StandInStore::*aHandler)(
+                              const Wire::HttpRequest&,
+                              const Wire::HttpReplyHandle&)) {
+    server_.Route(aMethod,
+                  aPath,
+                  [this, aHandler](const Wire::HttpRequest& aRequest,
+                                   const Wire::HttpReplyHandle& aReply) {
+                    if (isDown)
+                      aReply->Send(Wire::HttpResponse::Error(
+                        Wire::HttpStatus::ServiceUnavailable, "down"));
+                    else
+                      (this->*aHandler)(
+                        aRequest, std::make_shared<ReplyWithEra>(aReply, era_));
+                  });
+  };
   route(Wire::HttpMethod::Get, "/rows-get", &StandInStore::Read);
   route(Wire::HttpMethod::Get, "/rows-feed", &StandInStore::AwaitChanges);
   route(Wire::HttpMethod::Post, "/rows-tx", &StandInStore::ApplyTransaction);
@@ -103,6 +128,18 @@
   WakeWaiters();
 }
 
+void
+StandInStore::Restore()
+{
+  tables_ = copy_.tables;
+  version_ = copy_.version;
+  historyBegin_ = version_;
+  ++era_;
+  for (const auto& [number, waiter] : std::exchange(waiters_, {}))
+    waiter.reply->Send(Wire::HttpResponse::Error(
+      Wire::HttpStatus::ServiceUnavailable, "restored"));
+}
+
 void
 StandInStore::DropHistory()
 {
@@ -127,6 +164,7 @@
 StandInStore::Read(const Wire::HttpRequest& aRequest,
                    const Wire::HttpReplyHandle& aReply)
 {
+  ++reads;
   const std::string table = QueryParameter(aRequest, "table");
   boost::json::array rows;
   for (const auto& [key, row] : tables_[table]) {
@@ -155,9 +193,10 @@
 StandInStore::AwaitChanges(const Wire::HttpRequest& aRequest,
                            const Wire::HttpReplyHandle& aReply)
 {
+  ++reads;
   const std::string table = QueryParameter(aRequest, "table");
   const std::uint64_t after = std::stoull(QueryParameter(aRequest, "after"));
-  if (after < historyBegin_) {
+  if (after < historyBegin_ || after > version_) {
     aReply->Send(WithoutRows(kGone));
     return;
   }
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -33,6 +33,17 @@
   /** Drops the history: requests for changes before now get status 410. */
   void DropHistory();
 
+  /** Copies all rows, for a later Restore. */
+  void TakeCopy() { copy_ = { tables_, version_ }; }
+  /**
+   * Returns to the copy: everything that was written since is gone, versions
+   * are given out again, and the era rises. Open long polls fail.
+   */
+  void Restore();
+
+  /** The number of requests for rows or changes so far. */
+  int reads = 0;
+
   /** While set, every call fails with status 503. */
   bool isDown = false;
   /** The number of next transactions to apply without sending a response. */
@@ -71,6 +82,13 @@
   Wire::HttpServer server_;
   std::map<std::string, Table> tables_;
   std::uint64_t version_ = 0;
+  std::uint64_t era_ = 1;
+  struct Copy
+  {
+    std::map<std::string, Table> tables;
+    std::uint64_t version = 0;
+  };
+  Copy copy_;
   /** Changes after this version are still available. */
   std::uint64_t historyBegin_ = 0;
   std::map<std::uint64_t, Waiter> waiters_;
--- a/Tests/Platform/TestNodeOnLoopback.cpp
+++ b/Tests/Platform/TestNodeOnLoopback.cpp
@@ -18,6 +18,9 @@
 /** Far longer than any step takes, so exceeding it is a failure. */
 constexpr Core::Duration kTestTimeout = 20s;
 
+/** The bound for replacing a primary. */
+constexpr Core::Duration kFailoverBound = 6s;
+
 /** By then a single node has taken over the failover duty of earlier ones. */
 constexpr Core::Duration kDutyTimeout = 4s;
 
@@ -83,9 +86,15 @@
   void Promote(const std::string& aId)
   {
     StandIns::StandInDatabase& next = *databases.at(aId);
+    for (const auto& [id, database] : databases)
+      next.term = std::max(next.term, database->term);
+    ++next.term;
     next.isPrimary = true;
-    next.term = 2;
     next.replicas.clear();
+    for (const auto& [id, database] : databases) {
+      if (id != aId && !database->isPrimary)
+        next.replicas.push_back(database.get());
+    }
   }
 
   static std::string RouteTo(const std::string& aDatabase)
@@ -205,6 +214,21 @@
     return joined;
   }
 
+  /** Repeats a write until it succeeds; returns false after aLimit. */
+  bool WriteUntilServed(Client& aClient,
+                        const std::string& aItem,
+                        const std::string& aValue,
+                        Core::Duration aLimit)
+  {
+    const Core::Instant end = loop.Now() + aLimit;
+    while (loop.Now() < end) {
+      if (Query(aClient, "STORE " + aItem + ' ' + aValue)
+            .starts_with("COMPLETE"))
+        return true;
+    }
+    return false;
+  }
+
   /** Connects until the node serves, and returns a session with one write. */
   Client& ConnectUntilServed(std::size_t aNode)
   {
@@ -368,6 +392,80 @@
   BOOST_TEST(Query(client, "FETCH k").starts_with("DATAROW after "));
 }
 
+/** How far the store is behind after it was restored. */
+struct RestorationCase
+{
+  const char* name;
+  /** A primary is replaced after the copy was made. */
+  bool isPrimaryReplaced;
+  bool isRestored;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const RestorationCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const RestorationCase kRestorations[] = {
+  { "two changes of primary, nothing is lost", true, false },
+  { "nothing but leases is lost", false, true },
+  { "a change of primary is lost", true, true },
+};
+
+/**
+ * A restored store has rows with lower versions than the nodes remember. Nodes
+ * that took these rows for old ones never wrote the lease of the failover duty
+ * or a group's record again, so that no primary was ever replaced.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       AFailedPrimaryIsReplacedAfterTheStoreWasRestored,
+                       boost::unit_test::data::make(kRestorations))
+{
+  Client& client = ConnectUntilServed(0);
+  const auto waitFor = [&](Core::Duration aTime) {
+    const Core::Instant end = loop.Now() + aTime;
+    RunUntil([&] { return loop.Now() > end; });
+  };
+  // A node holds the duty, and the versions rise with its renewals.
+  waitFor(kDutyTimeout);
+  store.TakeCopy();
+  Client* writer = &client;
+  if (sample.isPrimaryReplaced) {
+    databases["i-a"]->Kill();
+    BOOST_REQUIRE(WriteUntilServed(*writer, "k", "before", kTestTimeout));
+  }
+  waitFor(3s);
+  if (sample.isRestored)
+    store.Restore();
+  store.reads = 0;
+  waitFor(3s);
+  BOOST_TEST(store.reads < 60);
+  const std::string primary = sample.isPrimaryReplaced ? "i-b" : "i-a";
+  BOOST_TEST_REQUIRE(databases[primary]->isPrimary);
+  databases[primary]->Kill();
+  BOOST_TEST(WriteUntilServed(*writer, "k", "after", kFailoverBound));
+}
+
+/**
+ * The first version that a restored store gives out again may be one that a
+ * node has seen before. The change with it must not be missed.
+ */
+BOOST_AUTO_TEST_CASE(AConfigurationWrittenToARestoredStoreIsApplied)
+{
+  ConnectUntilServed(0);
+  store.TakeCopy();
+  Configure(2, "market");
+  BOOST_REQUIRE(ServesBefore(0, "market", loop.Now() + kTestTimeout));
+  store.Restore();
+  // The operator writes again what the store has lost.
+  Configure(2, "market");
+  Configure(3, "square");
+  const Core::Instant confirmedAt = loop.Now();
+  for (const std::size_t node : { 0U, 1U })
+    BOOST_TEST(ServesBefore(node, "square", confirmedAt + kApplyBound));
+}
+
 BOOST_AUTO_TEST_CASE(NodesServeForALeaseWhileTheStoreIsDown)
 {
   Client& client = ConnectUntilServed(0);
