--- a/Libraries/LibAuthority/RowFollower.cpp
+++ b/Libraries/LibAuthority/RowFollower.cpp
@@ -98,7 +98,10 @@
 void
 RowFollower::Deliver(const FollowedRows& aRows)
 {
-  version_ = std::max(version_, aRows.version);
+  // A snapshot holds whatever the store has now, so following starts there even
+  // if the version is lower than before.
+  version_ =
+    aRows.isSnapshot ? aRows.version : std::max(version_, aRows.version);
   newestRowVersion_ = std::max(newestRowVersion_, NewestOf(aRows.rows));
   handler_(aRows);
 }
@@ -140,6 +143,7 @@
   switch (aReply.answer) {
     case StoreStatus::Done:
       ResetFailures();
+      wasHistoryGone_ = false;
       Deliver({ false,
                 aReply.rows,
                 std::max(version_, aReply.version),
@@ -153,7 +157,12 @@
     case StoreStatus::HistoryGone:
       ReportEvent(
         FollowEventKind::HistoryGone, aReply.answer, aReply.receivedBytes);
-      ReadSnapshot({}, {});
+      // A pause limits the reads of a store that never has the history.
+      if (std::exchange(wasHistoryGone_, true))
+        requestTimer_ =
+          scheduler_.After(timing_.pause, [this] { ReadSnapshot({}, {}); });
+      else
+        ReadSnapshot({}, {});
       return;
     case StoreStatus::Conflict:
     case StoreStatus::Refused:
--- a/Libraries/LibAuthority/include/LibAuthority/ChangeFeed.h
+++ b/Libraries/LibAuthority/include/LibAuthority/ChangeFeed.h
@@ -14,7 +14,10 @@
   Done,
   /** The condition of a conditional write was not met. */
   Conflict,
-  /** The store no longer has the change history that was requested. */
+  /**
+   * The store no longer has the change history that was requested, or it has
+   * been restored from a copy without that history.
+   */
   HistoryGone,
   /** The store refused the request; it had no effect. */
   Refused,
--- a/Libraries/LibAuthority/include/LibAuthority/CoordinationStore.h
+++ b/Libraries/LibAuthority/include/LibAuthority/CoordinationStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAuthority/StoreVersion.h>
 #include <LibCore/EnumNames.h>
 
 #include <cstdint>
@@ -16,8 +17,9 @@
   std::string key;
   std::string value;
   /**
-   * The store version of the row's last write. The store increments its version
-   * with every change. 0 means that the row does not exist.
+   * The store version of the row's last write, with the store's era (see
+   * StoreVersion.h). A number of 0 in any era means that the row does not
+   * exist.
    */
   std::uint64_t version = 0;
 };
@@ -60,15 +62,15 @@
 
   /**
    * Writes aRow.value if the row's current version equals aRow.version; with
-   * version 0, only if the row does not exist. Calls aDone exactly once, never
-   * before Write returns.
+   * number 0, only if the row does not exist. A version of an earlier era is a
+   * conflict. Calls aDone exactly once, never before Write returns.
    */
   virtual void Write(const StoredRow& aRow,
                      std::function<void(WriteOutcome)> aDone) = 0;
 
   /**
-   * Reads one row. Passes no value if the store did not reply, and a row of
-   * version 0 if the row does not exist.
+   * Reads one row. Passes no value if the store did not reply, and a row with
+   * number 0 if the row does not exist.
    */
   virtual void Read(const std::string& aKey,
                     std::function<void(std::optional<StoredRow>)> aDone) = 0;
--- a/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
+++ b/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
@@ -144,6 +144,8 @@
   std::uint64_t version_ = 0;
   std::uint64_t newestRowVersion_ = 0;
   int failures_ = 0;
+  /** True if no changes have been received since the history was gone. */
+  bool wasHistoryGone_ = false;
   /** True while a request for changes is pending. */
   bool isFollowing_ = false;
   /** The latest request. */
--- a/Tests/LibAuthority/TestRowFollower.cpp
+++ b/Tests/LibAuthority/TestRowFollower.cpp
@@ -135,7 +135,7 @@
       if (!std::exchange(exchange->isAnswered, true))
         SendChanges(exchange, aAfter, aDone);
     };
-    if (version > aAfter || failure)
+    if (version != aAfter || failure || isHistoryGone)
       time.DeferFor(kOneWay, reply);
     else
       waiting_.push_back(reply);
@@ -148,6 +148,9 @@
                    const RowsHandler& aDone)
   {
     StoreRows result{ failure.value_or(StoreStatus::Done), {}, version, false };
+    // The store doesn't have versions above its newest one.
+    if (isHistoryGone || aAfter > version)
+      result.answer = StoreStatus::HistoryGone;
     for (const auto& [key, row] : rows) {
       if (row.version > aAfter)
         result.rows.push_back(row);
@@ -168,6 +171,8 @@
   bool receivesFromPeers = false;
   /** Requests for changes get no reply. */
   bool isUnresponsive = false;
+  /** Every request for changes fails for lack of history. */
+  bool isHistoryGone = false;
   std::optional<StoreStatus> failure;
   int requests = 0;
   int deliveries = 0;
@@ -311,6 +316,41 @@
   BOOST_TEST((events.back() == FollowEventKind::HistoryGone));
 }
 
+/**
+ * A restored store has lower versions than before. A follower that kept its
+ * higher version asked for changes after it, again and again, and missed those
+ * up to that version.
+ */
+BOOST_AUTO_TEST_CASE(FollowsARestoredStoreFromItsSnapshot)
+{
+  for (const char* key : { "a", "b", "c", "d" })
+    Put(key);
+  follower.Start();
+  AdvanceBy(100ms);
+  version = 2;
+  rows.erase("c");
+  rows.erase("d");
+  follower.Refresh();
+  AdvanceBy(50ms);
+  const int before = requests;
+  AdvanceBy(1500ms);
+  BOOST_TEST(requests - before <= 1);
+  Put("e");
+  Put("f");
+  AdvanceBy(200ms);
+  BOOST_TEST(receivedVersions.contains("e"));
+  BOOST_TEST(receivedVersions.contains("f"));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAStoreWithoutHistoryWithPauses)
+{
+  isHistoryGone = true;
+  follower.Start();
+  AdvanceBy(10s);
+  BOOST_TEST(snapshots >= 10);
+  BOOST_TEST(snapshots <= 101);
+}
+
 BOOST_AUTO_TEST_CASE(RetriesARefusedRequestWithBackoff)
 {
   follower.Start();
