FailoverDuty: Count with a holder and members that the store has forgotten

What callers could see: two nodes that replace primaries at the same time, or a write acknowledged by a primary that has been replaced.

Cause: the lease's row of a restored store may name an earlier holder, or none, while the last holder still acts; a former holder that reads its own name resumed with its old token, lower than one that the platform had seen since. The rows also lack members that registered after the copy was made, so that all listed members having confirmed a record doesn't prove that nobody uses the old primary.

Change: after a restoration nobody takes the lease over for its duration, only a holder without a gap renews it; a token is of the current era. A holder reads the row again as soon as a write has met a conflict. Confirmations end a fence only once the authority of forgotten members has run out; stepping down and waiting do as before.

The delay of confirmations has no test of its own.

--- a/Libraries/LibAuthority/DutyLease.cpp
+++ b/Libraries/LibAuthority/DutyLease.cpp
@@ -16,6 +16,7 @@
 void
 DutyLease::Observe(const StoredRow& aRow, Core::Instant aNow)
 {
+  NoteVersion(aRow.version, aNow);
   const bool isNewVersion = !hasObserved_ || aRow.version > version_;
   hasObserved_ = true;
   if (!isNewVersion)
@@ -31,11 +32,28 @@
   // This process wrote the row, but the reply was lost, so the time from which
   // the lease counts is unknown. Renew at once; the lease counts from the
   // request time of that renewal.
-  if (token_ == 0)
+  if (!IsTokenOfCurrentEra())
     token_ = aRow.version;
   nextRenewal_ = aNow;
 }
 
+void
+DutyLease::NoteVersion(std::uint64_t aVersion, Core::Instant aNow)
+{
+  const std::uint64_t era = StoreEraOf(aVersion);
+  if (era_ && era <= *era_)
+    return;
+  if (era_)
+    noTakeoverBefore_ = aNow + timing_.duration;
+  era_ = era;
+}
+
+bool
+DutyLease::IsTokenOfCurrentEra() const
+{
+  return token_ != 0 && StoreEraOf(token_) == StoreEraOf(version_);
+}
+
 std::optional<StoredRow>
 DutyLease::NextWrite(Core::Instant aNow)
 {
@@ -44,7 +62,12 @@
   const bool isMine = holder_ == self_;
   if (isMine && aNow < nextRenewal_)
     return std::nullopt;
-  const bool isFree = version_ == 0 || holder_.empty() ||
+  // The row of a restored store may name an earlier holder, or none, while the
+  // last one still holds the lease.
+  const bool isRenewal = isMine && Holds(aNow);
+  if (!isRenewal && aNow < noTakeoverBefore_)
+    return std::nullopt;
+  const bool isFree = StoreNumberOf(version_) == 0 || holder_.empty() ||
                       aNow - unchangedSince_ > timing_.duration;
   if (!isMine && !isFree)
     return std::nullopt;
@@ -62,9 +85,10 @@
     hasObserved_ = false;
   if (aOutcome.result != WriteResult::Applied || aOutcome.version < version_)
     return;
-  if (token_ == 0 || holder_ != self_)
-    token_ = aOutcome.version;
+  const bool isRenewal = IsTokenOfCurrentEra() && holder_ == self_;
   version_ = aOutcome.version;
+  if (!isRenewal || !IsTokenOfCurrentEra())
+    token_ = aOutcome.version;
   holder_ = self_;
   unchangedSince_ = aRequestedAt;
   heldUntil_ = aRequestedAt + timing_.duration - timing_.safetyMargin;
--- a/Libraries/LibAuthority/include/LibAuthority/DutyLease.h
+++ b/Libraries/LibAuthority/include/LibAuthority/DutyLease.h
@@ -25,7 +25,8 @@
  * The holder rewrites the row regularly. A node that sees the row unchanged for
  * the lease duration, by its own clock, may take the lease over. The fencing
  * token is the row's version at the acquisition, so it increases from holder to
- * holder. This class performs no I/O: the caller reads and writes the row.
+ * holder, also when the store is restored from an older copy. This class
+ * performs no I/O: the caller reads and writes the row.
  */
 class DutyLease
 {
@@ -42,6 +43,16 @@
    */
   void Observe(const StoredRow& aRow, Core::Instant aNow);
 
+  /**
+   * Reports a version in any reply of the store. After a restoration of the
+   * store, nobody takes the lease over for its duration, since the last holder
+   * may be one that the store has forgotten.
+   */
+  void NoteVersion(std::uint64_t aVersion, Core::Instant aNow);
+
+  /** True if the row must be read before the next write. */
+  bool NeedsRead() const { return !hasObserved_; }
+
   /** Returns the write to send now, if any; OnWritten must follow. */
   std::optional<StoredRow> NextWrite(Core::Instant aNow);
 
@@ -68,6 +79,8 @@
   const std::string& Holder() const { return holder_; }
 
 private:
+  bool IsTokenOfCurrentEra() const;
+
   std::string key_;
   std::string self_;
   DutyLeaseTiming timing_;
@@ -79,6 +92,9 @@
   Core::Instant heldUntil_{};
   Core::Instant nextRenewal_{};
   std::uint64_t token_ = 0;
+  /** The store's newest era, once known. */
+  std::optional<std::uint64_t> era_;
+  Core::Instant noTakeoverBefore_ = Core::Instant::min();
   bool isWriting_ = false;
   bool isReleased_ = false;
 };
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -149,6 +149,7 @@
     revocations_.clear();
   }
   heldDuty_ = holds;
+  StartRevocations();
   const Core::Instant now = scheduler_.Now();
   if (holds && now >= nextHeartbeatsAt_) {
     nextHeartbeatsAt_ = now + kHeartbeatInterval;
@@ -185,8 +186,9 @@
 FailoverDuty::ReadLease()
 {
   const Core::Instant now = scheduler_.Now();
-  if (Holds() || membership_.HasActiveHolder() || isReadingLease_ ||
-      now < nextLeaseReadAt_)
+  const bool isHeldByPeer = !Holds() && membership_.HasActiveHolder();
+  const bool isUpToDate = Holds() && !lease_.NeedsRead();
+  if (isHeldByPeer || isUpToDate || isReadingLease_ || now < nextLeaseReadAt_)
     return;
   isReadingLease_ = true;
   nextLeaseReadAt_ = now + kReadInterval;
@@ -376,7 +378,8 @@
   // The rows up to the record's version contain every member that registered
   // before it was written. A member that registers later reads the record
   // before it gets authority.
-  if (appliedVersion_ < aRevocation.recordVersion || aRevocation.broadcast)
+  if (appliedVersion_ < aRevocation.recordVersion || aRevocation.broadcast ||
+      scheduler_.Now() < membersKnownAt_)
     return;
   announcements_.erase(aRevocation.record.group);
   aRevocation.broadcast =
@@ -391,7 +394,26 @@
 void
 FailoverDuty::OnRowsApplied(std::uint64_t aVersion)
 {
+  const Core::Instant now = scheduler_.Now();
+  const bool isRestored =
+    appliedVersion_ != 0 &&
+    Authority::StoreEraOf(aVersion) > Authority::StoreEraOf(appliedVersion_);
+  if (isRestored) {
+    // Members that the store has forgotten hold authority at most until the
+    // last holder of the duty that it has forgotten has stopped renewing it.
+    membersKnownAt_ = now + settings_.lease.duration +
+                      settings_.supervisor.authorityLease.fenced +
+                      settings_.supervisor.clockMargin;
+    Log("store_restored", { { "version", aVersion } });
+  }
+  lease_.NoteVersion(aVersion, now);
   appliedVersion_ = std::max(appliedVersion_, aVersion);
+  StartRevocations();
+}
+
+void
+FailoverDuty::StartRevocations()
+{
   for (auto& [group, revocation] : revocations_)
     StartRevocation(revocation);
 }
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -113,6 +113,7 @@
   void WriteLease();
   void ReadLease();
   void StartRevocation(Revocation& aRevocation);
+  void StartRevocations();
   Authority::GroupSupervisor& SupervisorOf(const std::string& aGroup);
   void UpdateSupervisors();
 
@@ -166,6 +167,11 @@
    */
   std::map<std::string, std::unique_ptr<RecordBroadcast>> announcements_;
   std::uint64_t appliedVersion_ = 0;
+  /**
+   * From then on, the rows contain every member that may hold authority; in the
+   * future only after the store was restored from an older copy.
+   */
+  Core::Instant membersKnownAt_ = Core::Instant::min();
   std::uint64_t newestRecord_ = 0;
   /** When this node stops, it releases the duty by then at the latest. */
   std::optional<Core::Instant> releaseDeadline_;
