GroupRecord: Keep newer records when the store is restored

Cause: a record's place in time was its row's version. The holder of the failover duty ignored the restored row as an old one and wrote on the condition of a version that the store no longer had: a conflict each time. Had the row been taken as new, nodes would have gone back to a former primary.

Change: a record names the version that it replaced, which orders contents whatever version their rows have. Nodes keep the newer content and the row's version for the next write. A record from before the restoration renews no authority until the holder has found its primary leading and has written it again; what authority nodes have lasts for its time, so that service goes on. A record that the copy lacks is written anew.

--- a/Libraries/LibAuthority/GroupRecord.cpp
+++ b/Libraries/LibAuthority/GroupRecord.cpp
@@ -30,7 +30,9 @@
 std::string
 GroupRecord::ToText() const
 {
-  boost::json::object json{ { "term", term }, { "primary", primary } };
+  boost::json::object json{ { "term", term },
+                            { "primary", primary },
+                            { "basis", basis } };
   if (change) {
     json["candidate"] = change->candidate;
     json["voluntary"] = change->isSwitchover;
@@ -60,6 +62,8 @@
     const auto* voluntary = fields.if_contains("voluntary");
     if (record.change && voluntary != nullptr)
       record.change->isSwitchover = voluntary->as_bool();
+    if (const auto* basis = fields.if_contains("basis"))
+      record.basis = basis->to_number<std::uint64_t>();
     for (const auto& start : fields.at("starts").as_array())
       record.starts.push_back(
         { start.as_array().at(0).to_number<Session::Term>(),
--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -228,7 +228,9 @@
   }
   ConsiderSwitchover();
   // Replies to statements show that the primary is alive, too.
-  const bool wasSeenRecently = now - primaryLastSeenAt_ < timing_.probeInterval;
+  const bool wasSeenRecently =
+    now - primaryLastSeenAt_ < timing_.probeInterval &&
+    record_->IsOfCurrentEra();
   if (isProbing_ || wasSeenRecently || now < nextProbe_)
     return;
   isProbing_ = true;
@@ -290,6 +292,8 @@
     const Sql::DatabaseStatus& status = *aOutcome.status;
     if (status.isPrimary && status.term == record_->term) {
       primaryLastSeenAt_ = now;
+      if (!record_->IsOfCurrentEra())
+        ConfirmRecord();
       return;
     }
     if (HasEligibleCandidate() || !status.isPrimary)
@@ -302,9 +306,19 @@
 }
 
 void
-GroupSupervisor::WriteAndThen(const GroupRecord& aRecord,
-                              std::function<void()> aNext)
+GroupSupervisor::ConfirmRecord()
 {
+  port_.Log("group_record_confirmed",
+            { { "group", group_ },
+              { "primary", record_->primary },
+              { "term", record_->term } });
+  WriteEnd(*record_);
+}
+
+void
+GroupSupervisor::WriteAndThen(GroupRecord aRecord, std::function<void()> aNext)
+{
+  aRecord.basis = aRecord.version;
   port_.WriteRecord(
     aRecord,
     [this, epoch = epoch_, record = aRecord, next = std::move(aNext)](
--- a/Libraries/LibAuthority/PrimaryAuthority.cpp
+++ b/Libraries/LibAuthority/PrimaryAuthority.cpp
@@ -11,7 +11,12 @@
   if (record_ && aRecord.version < record_->version)
     return false;
   const bool isNew = !record_ || aRecord.version > record_->version;
-  if (isNew) {
+  const bool isOutdated = record_ && aRecord.basis < record_->basis;
+  if (isNew && isOutdated) {
+    // A restored store has brought back a record that has been replaced since.
+    // Only its version counts: the next write replaces this row.
+    record_->version = aRecord.version;
+  } else if (isNew) {
     // A lease is valid only for the primary that it was granted for.
     if (!record_ || record_->term != aRecord.term ||
         record_->primary != aRecord.primary || aRecord.change)
@@ -25,7 +30,7 @@
 void
 PrimaryAuthority::Renew(Core::Instant aRequestedAt)
 {
-  if (record_ && !record_->change)
+  if (record_ && !record_->change && record_->IsOfCurrentEra())
     requestedAt_ = std::max(requestedAt_, aRequestedAt);
 }
 
--- a/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAuthority/StoreVersion.h>
 #include <LibCore/LastReason.h>
 #include <LibSession/LogPosition.h>
 
@@ -42,6 +43,21 @@
   std::vector<TermStart> starts;
   /** The version of the store row that holds this record. */
   std::uint64_t version = 0;
+  /**
+   * The version of the row that this record replaced. It orders the contents of
+   * a group's records, also if the store is restored from a copy, which gives
+   * an old content a new version. 0 in records of earlier releases.
+   */
+  std::uint64_t basis = 0;
+
+  /**
+   * True if this record was written in the era in which it was read. Otherwise
+   * the store may have lost newer records in a restoration.
+   */
+  bool IsOfCurrentEra() const
+  {
+    return StoreEraOf(basis) == StoreEraOf(version);
+  }
 
   /**
    * Ends the change: makes aPrimary the primary of aTerm, whose log begins at
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -201,6 +201,8 @@
   void MonitorPrimary();
   void OnPrimaryProbe(const ProbeOutcome& aOutcome);
   void ConsiderSwitchover();
+  /** Writes the record again after the store was restored from a copy. */
+  void ConfirmRecord();
   void BeginChange(std::string_view aReason, bool aIsSwitchover = false);
   void BeginFencing();
   void CheckFence();
@@ -215,7 +217,7 @@
   void OnCandidateProbe(const ProbeOutcome& aOutcome);
   void Complete(const std::string& aId, const Sql::DatabaseStatus& aStatus);
   void WriteEnd(const GroupRecord& aRecord);
-  void WriteAndThen(const GroupRecord& aRecord, std::function<void()> aNext);
+  void WriteAndThen(GroupRecord aRecord, std::function<void()> aNext);
   void ProbeAndStoreStatus(const std::string& aId);
   const SupervisedDatabase* FindDatabase(const std::string& aId) const;
   bool HasEligibleCandidate() const;
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
@@ -49,7 +49,11 @@
 
   /**
    * Processes a record that the store held at some time after aRequestedAt.
-   * Returns true if it is newer than the known record. Ignores an older one.
+   * Returns true if its row is newer than the known one. Ignores an older row.
+   * Keeps the known content if the row's content is older, which happens after
+   * the store was restored from a copy. A record that was written before the
+   * restoration grants no authority until the holder of the failover duty has
+   * confirmed it, since later changes may be lost.
    */
   bool Observe(const GroupRecord& aRecord, Core::Instant aRequestedAt);
 
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -294,6 +294,8 @@
     mayGrantAuthority ? aRows.requestedAt : Authority::kNoRequestTime;
   for (const Authority::StoredRow& row : aRows.rows)
     ApplyRow(row, requestedAt);
+  if (aRows.isSnapshot)
+    NoteForgottenRecords(aRows.version);
   membership_.CheckSelf();
   hasRows_ = true;
   lastStoreRequestAt_ = std::max(lastStoreRequestAt_, aRows.requestedAt);
@@ -306,6 +308,20 @@
   UpdateRelays();
 }
 
+void
+Node::NoteForgottenRecords(std::uint64_t aVersion)
+{
+  const std::uint64_t era = Authority::StoreEraOf(aVersion);
+  for (auto& [name, router] : routers_) {
+    const auto& known = router->Authority().Record();
+    if (!known || Authority::StoreEraOf(known->version) >= era)
+      continue;
+    Authority::GroupRecord missing = *known;
+    missing.version = Authority::MakeStoreVersion(era, 0);
+    Observe(missing, Authority::kNoRequestTime);
+  }
+}
+
 void
 Node::ApplyRow(const Authority::StoredRow& aRow, Core::Instant aRequestedAt)
 {
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -133,6 +133,11 @@
 
 private:
   void ApplyRow(const Authority::StoredRow& aRow, Core::Instant aRequestedAt);
+  /**
+   * After a snapshot of a restored store: lets records that it doesn't contain
+   * be written again.
+   */
+  void NoteForgottenRecords(std::uint64_t aVersion);
   void ApplyGroupRow(const Authority::StoredRow& aRow,
                      Core::Instant aRequestedAt);
   void Observe(const Authority::GroupRecord& aRecord,
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -453,4 +453,39 @@
   BOOST_TEST(stored->term == 2U);
 }
 
+/**
+ * After the store was restored from a copy, nodes may use a primary only once
+ * the holder of the duty has found it leading and has written its record again.
+ */
+BOOST_AUTO_TEST_CASE(ARestoredRecordIsConfirmedWithoutAChange)
+{
+  Begin();
+  stored->version = version = Authority::MakeStoreVersion(2, 3);
+  supervisor.SetRecord(stored);
+  BOOST_TEST(!stored->IsOfCurrentEra());
+  AdvanceBy(600ms);
+  BOOST_TEST(stored->IsOfCurrentEra());
+  BOOST_TEST(stored->primary == "a");
+  BOOST_TEST(!changeBeganAt.has_value());
+  const std::uint64_t confirmedVersion = stored->version;
+  AdvanceBy(5s);
+  BOOST_TEST(stored->version == confirmedVersion);
+}
+
+/** The restored record names a primary that another one has replaced. */
+BOOST_AUTO_TEST_CASE(ARestoredRecordOfAFormerPrimaryIsReplaced)
+{
+  Begin();
+  members["a"].status.isPrimary = false;
+  members["b"].status.isPrimary = true;
+  members["b"].status.term = 2;
+  stored->version = version = Authority::MakeStoreVersion(2, 3);
+  supervisor.SetRecord(stored);
+  AdvanceBy(2s);
+  BOOST_TEST(stored->primary == "b");
+  BOOST_TEST(stored->term == 2U);
+  BOOST_TEST(stored->IsOfCurrentEra());
+  BOOST_TEST(promoted.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibAuthority/TestLeases.cpp
+++ b/Tests/LibAuthority/TestLeases.cpp
@@ -149,6 +149,97 @@
   BOOST_TEST(next.NextWrite(kStart + 201ms).has_value());
 }
 
+/** The lease's row in a store that was restored from a copy. */
+struct RestoredLeaseCase
+{
+  const char* name;
+  const char* holder;
+  /** The version number in the copy; 0 if it has no row. */
+  std::uint64_t number;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const RestoredLeaseCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const RestoredLeaseCase kRestoredLeases[] = {
+  { "no row", "", 0 },
+  { "a released row", "", 30 },
+  { "an earlier holder", "earlier", 30 },
+  { "the same holder", "other", 30 },
+  { "this process, which held it earlier", "me", 30 },
+};
+
+/**
+ * A process that took a restored row at once would hold the lease together with
+ * a holder that the store has forgotten. One that took it for an old row, since
+ * its version is lower, would never take it, and its token would be lower than
+ * that of the forgotten holder.
+ */
+BOOST_DATA_TEST_CASE(RestoredLeaseIsTakenAfterItsDuration,
+                     data::make(kRestoredLeases))
+{
+  DutyLease lease("lease/x", "me", kTiming);
+  const std::uint64_t forgotten = Authority::MakeStoreVersion(1, 50);
+  const std::uint64_t restored = Authority::MakeStoreVersion(2, sample.number);
+  lease.Observe({ "lease/x", "other", forgotten }, kStart);
+  lease.Observe({ "lease/x", sample.holder, restored }, kStart + 100ms);
+  BOOST_TEST(!lease.NextWrite(kStart + 2099ms).has_value());
+  const auto row = lease.NextWrite(kStart + 2101ms);
+  BOOST_REQUIRE(row.has_value());
+  BOOST_TEST(row->version == restored);
+  lease.OnWritten({ WriteResult::Applied, restored + 1 }, kStart + 2101ms);
+  BOOST_TEST(lease.Holds(kStart + 2200ms));
+  BOOST_TEST(lease.Token() > forgotten);
+}
+
+BOOST_AUTO_TEST_CASE(HolderRenewsARestoredLeaseWithANewToken)
+{
+  DutyLease lease("lease/x", "me", kTiming);
+  lease.Observe({ "lease/x", "", Authority::MakeStoreVersion(1, 0) }, kStart);
+  lease.NextWrite(kStart);
+  const std::uint64_t before = Authority::MakeStoreVersion(1, 50);
+  lease.OnWritten({ WriteResult::Applied, before }, kStart);
+  lease.NextWrite(kStart + 500ms);
+  lease.OnWritten({ WriteResult::Conflict, 0 }, kStart + 500ms);
+  BOOST_TEST(lease.NeedsRead());
+  const std::uint64_t restored = Authority::MakeStoreVersion(2, 40);
+  lease.Observe({ "lease/x", "me", restored }, kStart + 600ms);
+  BOOST_TEST(lease.Holds(kStart + 600ms));
+  BOOST_TEST(lease.Token() == restored);
+  const auto row = lease.NextWrite(kStart + 601ms);
+  BOOST_REQUIRE(row.has_value());
+  lease.OnWritten({ WriteResult::Applied, restored + 1 }, kStart + 601ms);
+  BOOST_TEST(lease.Token() == restored);
+  BOOST_TEST(lease.Holds(kStart + 2200ms));
+}
+
+/**
+ * The copy names a primary that has been replaced since. A node that believed
+ * it would acknowledge writes of the former primary.
+ */
+BOOST_AUTO_TEST_CASE(RestoredRecordNeitherReplacesANewerOneNorGrantsAuthority)
+{
+  Authority::PrimaryAuthority authority({ 7500ms, 1200ms });
+  GroupRecord newer = RecordOf(2, Authority::MakeStoreVersion(1, 50));
+  newer.basis = Authority::MakeStoreVersion(1, 49);
+  authority.Observe(newer, kStart);
+  GroupRecord restored = RecordOf(1, Authority::MakeStoreVersion(2, 30));
+  restored.basis = Authority::MakeStoreVersion(1, 29);
+  authority.Observe(restored, kStart + 2s);
+  BOOST_TEST(authority.Record()->primary == "db2");
+  BOOST_TEST(authority.Record()->version == restored.version);
+  // The authority that the node has lasts, but is not extended.
+  BOOST_TEST(authority.HoldsFor("db2", 2, kStart + 7499ms));
+  BOOST_TEST(!authority.Holds(kStart + 7500ms));
+  GroupRecord confirmed = RecordOf(2, Authority::MakeStoreVersion(2, 31));
+  confirmed.basis = restored.version;
+  authority.Observe(confirmed, kStart + 3s);
+  BOOST_TEST(authority.HoldsFor("db2", 2, kStart + 10s));
+}
+
 BOOST_AUTO_TEST_CASE(AuthorityLastsFromTheRequestTime)
 {
   Authority::PrimaryAuthority authority({ 7500ms, 1200ms });
