DatabaseDirectory: Don't let a leaving database serve again

What callers could see: work sent to a database that is about to end.

Cause: a restored store lists a database as serving that had begun to leave, until the database writes again.

Change: a database that was listed as leaving stays so until it is restarted, also after its entry was removed, for 60 s.

Evidence: LeavingEntryDoesNotServeAgain, five cases; two fail without the change.

--- a/Libraries/LibPooler/DatabaseDirectory.cpp
+++ b/Libraries/LibPooler/DatabaseDirectory.cpp
@@ -7,6 +7,9 @@
 /** The platform restores entries of live databases within about 2 s. */
 constexpr Core::Duration kMissingRetention = std::chrono::milliseconds(2500);
 
+/** Longer than the age of any copy from which the platform's store restores. */
+constexpr Core::Duration kLeavingRetention = std::chrono::seconds(60);
+
 } // namespace
 
 void
@@ -15,6 +18,7 @@
                        Core::Instant aNow)
 {
   if (aDatabase) {
+    NoteLeaving(*aDatabase, aNow);
     entries_[aId] = { *aDatabase, std::nullopt, true };
     return;
   }
@@ -27,6 +31,17 @@
     entry->second.missingSince = aNow;
 }
 
+void
+DatabaseDirectory::NoteLeaving(Database& aDatabase, Core::Instant aNow)
+{
+  const auto known = leaving_.find(aDatabase.id);
+  const bool hasLeft = aDatabase.startedAt != 0 && known != leaving_.end() &&
+                       known->second.startedAt == aDatabase.startedAt;
+  aDatabase.isLeaving = aDatabase.isLeaving || hasLeft;
+  if (aDatabase.isLeaving)
+    leaving_[aDatabase.id] = { aDatabase.startedAt, aNow };
+}
+
 void
 DatabaseDirectory::BeginReload()
 {
@@ -49,6 +64,9 @@
 bool
 DatabaseDirectory::Expire(Core::Instant aNow)
 {
+  std::erase_if(leaving_, [aNow](const auto& aItem) {
+    return aNow - aItem.second.listedAt > kLeavingRetention;
+  });
   return std::erase_if(entries_, [aNow](const auto& aItem) {
            const auto& since = aItem.second.missingSince;
            return since && aNow - *since > kMissingRetention;
--- a/Libraries/LibPooler/include/LibPooler/DatabaseDirectory.h
+++ b/Libraries/LibPooler/include/LibPooler/DatabaseDirectory.h
@@ -11,6 +11,10 @@
  * that disappear. The platform also drops entries of live databases while its
  * store is unavailable, and restores them soon after. Therefore an entry that
  * disappears without having been marked as leaving is kept for a while.
+ *
+ * A store that is restored from an older copy may list a database as it was
+ * before it began to leave. A database that leaves never serves again before it
+ * has been restarted, so it stays marked as leaving.
  */
 class DatabaseDirectory
 {
@@ -30,6 +34,15 @@
   DatabaseList List() const;
 
 private:
+  /** Marks a database that was listed as leaving since its start. */
+  void NoteLeaving(Database& aDatabase, Core::Instant aNow);
+
+  struct Leaving
+  {
+    /** Database::startedAt of the process that leaves. */
+    std::int64_t startedAt = 0;
+    Core::Instant listedAt{};
+  };
   struct Entry
   {
     Database database;
@@ -37,6 +50,8 @@
     bool wasReloaded = true;
   };
   std::map<std::string, Entry> entries_;
+  /** By id: databases that were listed as leaving lately. */
+  std::map<std::string, Leaving> leaving_;
 };
 
 } // namespace Pooler
--- a/Tests/LibPooler/TestConnectionPool.cpp
+++ b/Tests/LibPooler/TestConnectionPool.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE ConnectionPool
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "PoolFixture.h"
@@ -211,3 +212,52 @@
   directory.Set("a", std::nullopt, start + 1s);
   BOOST_TEST(directory.List().empty());
 }
+
+/** What the list says of a database that was leaving a moment before. */
+struct RestoredEntryCase
+{
+  const char* name;
+  /** The entry is removed before it is listed as serving. */
+  bool isRemovedBefore;
+  /** The start of the process that is listed as serving; 0 if unknown. */
+  std::int64_t startedAt;
+  Core::Duration after;
+  bool isLeaving;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const RestoredEntryCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const RestoredEntryCase kRestoredEntries[] = {
+  { "the same process", false, 7, 1s, true },
+  { "the same process after its entry was removed", true, 7, 1s, true },
+  { "restarted under the same id", false, 8, 1s, false },
+  { "restarted after its entry was removed", true, 8, 1s, false },
+  { "long after", true, 7, 120s, false },
+};
+
+/**
+ * A restored store lists a database as serving that had begun to leave. Sent
+ * new work, it would be stopped in the middle of it.
+ */
+BOOST_DATA_TEST_CASE(LeavingEntryDoesNotServeAgain,
+                     boost::unit_test::data::make(kRestoredEntries))
+{
+  Pooler::DatabaseDirectory directory;
+  const Core::Instant start{ 10s };
+  Pooler::Database database;
+  database.id = "a";
+  database.startedAt = 7;
+  database.isLeaving = true;
+  directory.Set("a", database, start);
+  if (sample.isRemovedBefore)
+    directory.Set("a", std::nullopt, start);
+  directory.Expire(start + sample.after);
+  database.isLeaving = false;
+  database.startedAt = sample.startedAt;
+  directory.Set("a", database, start + sample.after);
+  BOOST_TEST(directory.List().at("a").isLeaving == sample.isLeaving);
+}
