FailoverDuty: Don't take a restored entry for a successor at an address

What callers could see: writes acknowledged by a primary that has been replaced.

Cause: another database listed at a primary's address proved that the primary has ended, and it was replaced without a fence. A restored store may list a database that ended long before, at an address that the primary uses by now.

Change: only a database that started later proves it.

Evidence: OnlyALaterDatabaseAtItsAddressShowsThatOneHasEnded fails in the case of an earlier one without the change.

--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -89,12 +89,13 @@
   std::set<std::string> primaries;
   for (const auto& [group, primary] : primaries_)
     primaries.insert(primary);
-  std::erase_if(lastAddresses_, [&](const auto& aEntry) {
+  std::erase_if(lastListings_, [&](const auto& aEntry) {
     return !databases_.contains(aEntry.first) &&
            !primaries.contains(aEntry.first);
   });
   for (const auto& [id, database] : databases_)
-    lastAddresses_[id] = { database.host, database.port };
+    lastListings_[id] = { { database.host, database.port },
+                          database.startedAt };
   control_.SetDatabases(aDatabases);
   UpdateSupervisors();
 }
@@ -277,15 +278,17 @@
 bool
 FailoverDuty::HasEnded(const std::string& aId) const
 {
-  const auto address = lastAddresses_.find(aId);
-  if (address == lastAddresses_.end())
+  const auto known = lastListings_.find(aId);
+  if (known == lastListings_.end())
     return false;
-  // Only one process can listen on an address. If another database is listed at
-  // this one's last address, this one has ended.
+  // Only one process can listen on an address. If another database that started
+  // later is listed at this one's last address, this one has ended. An earlier
+  // one may be listed there by a store that was restored from an older copy.
   return std::any_of(
     databases_.begin(), databases_.end(), [&](const auto& aEntry) {
-      const Database& other = aEntry.second;
-      return other.id != aId && lastAddresses_.at(other.id) == address->second;
+      const Listing& other = lastListings_.at(aEntry.first);
+      return aEntry.first != aId && other.address == known->second.address &&
+             other.startedAt >= known->second.startedAt;
     });
 }
 
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -108,6 +108,14 @@
     Authority::GroupRecord record;
   };
 
+  /** What the platform's list says about a database's process. */
+  struct Listing
+  {
+    Wire::Address address;
+    /** Database::startedAt. */
+    std::int64_t startedAt = 0;
+  };
+
   void ReleaseIfIdle();
   bool IsChangingPrimary() const;
   void WriteLease();
@@ -154,10 +162,10 @@
   Authority::DutyLease lease_;
   DatabaseList databases_;
   /**
-   * The addresses of listed databases, and the last known addresses of
-   * primaries that are no longer listed.
+   * The listed databases, and the last listings of primaries that are no
+   * longer listed.
    */
-  std::map<std::string, Wire::Address> lastAddresses_;
+  std::map<std::string, Listing> lastListings_;
   /** Each group's primary according to its record. */
   std::map<std::string, std::string> primaries_;
   std::map<std::string, std::unique_ptr<Authority::GroupSupervisor>>
