FailoverDuty: Ask members that a restored store has forgotten

Change: a node remembers the members that it knew before the restoration, and a change asks them as well for as long as they may hold authority. A member that nobody has heard of, which registered in the last moments before the restoration and can't reach the store since, is not covered; nor are members forgotten before a node's own start. The wait that stood in for this goes.

--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -150,7 +150,6 @@
     revocations_.clear();
   }
   heldDuty_ = holds;
-  StartRevocations();
   const Core::Instant now = scheduler_.Now();
   if (holds && now >= nextHeartbeatsAt_) {
     nextHeartbeatsAt_ = now + kHeartbeatInterval;
@@ -381,14 +380,13 @@
   // The rows up to the record's version contain every member that registered
   // before it was written. A member that registers later reads the record
   // before it gets authority.
-  if (appliedVersion_ < aRevocation.recordVersion || aRevocation.broadcast ||
-      scheduler_.Now() < membersKnownAt_)
+  if (appliedVersion_ < aRevocation.recordVersion || aRevocation.broadcast)
     return;
   announcements_.erase(aRevocation.record.group);
   aRevocation.broadcast =
     std::make_unique<RecordBroadcast>(scheduler_,
                                       peers_,
-                                      membership_.Others(),
+                                      MembersWithAuthority(),
                                       aRevocation.record,
                                       aRevocation.done);
   aRevocation.broadcast->Start();
@@ -397,28 +395,43 @@
 void
 FailoverDuty::OnRowsApplied(std::uint64_t aVersion)
 {
-  const Core::Instant now = scheduler_.Now();
+  lease_.NoteVersion(aVersion, scheduler_.Now());
+  appliedVersion_ = std::max(appliedVersion_, aVersion);
+  for (auto& [group, revocation] : revocations_)
+    StartRevocation(revocation);
+}
+
+void
+FailoverDuty::OnSnapshotBegins(std::uint64_t aVersion)
+{
   const bool isRestored =
     appliedVersion_ != 0 &&
     Authority::StoreEraOf(aVersion) > Authority::StoreEraOf(appliedVersion_);
-  if (isRestored) {
-    // Members that the store has forgotten hold authority at most until the
-    // last holder of the duty that it has forgotten has stopped renewing it.
-    membersKnownAt_ = now + settings_.lease.duration +
-                      settings_.supervisor.authorityLease.fenced +
-                      settings_.supervisor.clockMargin;
-    Log("store_restored", { { "version", aVersion } });
-  }
-  lease_.NoteVersion(aVersion, now);
-  appliedVersion_ = std::max(appliedVersion_, aVersion);
-  StartRevocations();
+  if (!isRestored)
+    return;
+  formerMembers_ = membership_.Others();
+  // The last holder of the duty in the earlier era may have renewed their
+  // authority until its lease ended.
+  formerMembersUntil_ = scheduler_.Now() + settings_.lease.duration +
+                        settings_.supervisor.authorityLease.fenced +
+                        settings_.supervisor.clockMargin;
+  Log("store_restored",
+      { { "version", aVersion }, { "members", formerMembers_.size() } });
 }
 
-void
-FailoverDuty::StartRevocations()
+std::vector<Member>
+FailoverDuty::MembersWithAuthority() const
 {
-  for (auto& [group, revocation] : revocations_)
-    StartRevocation(revocation);
+  std::vector<Member> members = membership_.Others();
+  if (scheduler_.Now() > formerMembersUntil_)
+    return members;
+  const std::string self = membership_.Self().Key();
+  for (const Member& former : formerMembers_) {
+    const std::string key = former.Key();
+    if (key != self && membership_.Roster().Find(key) == nullptr)
+      members.push_back(former);
+  }
+  return members;
 }
 
 } // namespace Pooler
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -287,8 +287,10 @@
 void
 Node::ApplyOwnRows(const Authority::FollowedRows& aRows)
 {
-  if (aRows.isSnapshot)
+  if (aRows.isSnapshot) {
+    duty_.OnSnapshotBegins(aRows.version);
     membership_.BeginReload();
+  }
   const bool mayGrantAuthority = membership_.CoversRequest(aRows.requestedAt);
   const Core::Instant requestedAt =
     mayGrantAuthority ? aRows.requestedAt : Authority::kNoRequestTime;
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -62,6 +62,8 @@
 
   void SetDatabases(const DatabaseList& aDatabases);
   void SetRecord(const Authority::GroupRecord& aRecord);
+  /** Reports that a snapshot of that version is about to be applied. */
+  void OnSnapshotBegins(std::uint64_t aVersion);
   /** Reports that all store rows up to aVersion have been applied. */
   void OnRowsApplied(std::uint64_t aVersion);
   /** Reports that the group's primary has responded to a statement. */
@@ -121,7 +123,8 @@
   void WriteLease();
   void ReadLease();
   void StartRevocation(Revocation& aRevocation);
-  void StartRevocations();
+  /** All listed members, and those that a restored store has forgotten. */
+  std::vector<Member> MembersWithAuthority() const;
   Authority::GroupSupervisor& SupervisorOf(const std::string& aGroup);
   void UpdateSupervisors();
 
@@ -176,10 +179,11 @@
   std::map<std::string, std::unique_ptr<RecordBroadcast>> announcements_;
   std::uint64_t appliedVersion_ = 0;
   /**
-   * From then on, the rows contain every member that may hold authority; in the
-   * future only after the store was restored from an older copy.
+   * The members before the store was last restored from an older copy, which
+   * may lack some of them, and until when those may still hold authority.
    */
-  Core::Instant membersKnownAt_ = Core::Instant::min();
+  std::vector<Member> formerMembers_;
+  Core::Instant formerMembersUntil_ = Core::Instant::min();
   std::uint64_t newestRecord_ = 0;
   /** When this node stops, it releases the duty by then at the latest. */
   std::optional<Core::Instant> releaseDeadline_;
--- a/Tests/Platform/TestNodeOnLoopback.cpp
+++ b/Tests/Platform/TestNodeOnLoopback.cpp
@@ -111,7 +111,7 @@
   {
     std::string routes = RouteTo(aDatabase);
     for (int i = 0; i < aOtherRoutes; ++i)
-      routes += ',' + RouteTo("other-" + std::to_string(i));
+      routes.append(",").append(RouteTo("other-" + std::to_string(i)));
     store.Put("op",
               "config",
               R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)" +
