--- a/Tests/Platform/TestNodeOnLoopback.cpp
+++ b/Tests/Platform/TestNodeOnLoopback.cpp
@@ -220,10 +220,11 @@
                         const std::string& aValue,
                         Core::Duration aLimit)
   {
+    std::string statement = "STORE " + aItem;
+    statement += ' ' + aValue;
     const Core::Instant end = loop.Now() + aLimit;
     while (loop.Now() < end) {
-      if (Query(aClient, "STORE " + aItem + ' ' + aValue)
-            .starts_with("COMPLETE"))
+      if (Query(aClient, statement).starts_with("COMPLETE"))
         return true;
     }
     return false;
