PrimaryAuthority: Combine a restored row and a newer record in either order

What callers could see: a write acknowledged by a primary that has been replaced.

Cause: the newest row's version and the newest content were kept only if the record with the newer content came first. A node that read the restored row first dropped a record of a change that another node then sent, because its row was older, yet confirmed that it had given up the primary.

Change: GroupRecord::IsNewerThan orders contents: by the rows that they replaced if either may have been brought back, otherwise by their versions. A node keeps the newest content and the newest row's version, whichever comes first. The log line group_record shows the record that is kept, not the one that was read.

Evidence: RestoredRowAndNewerRecordCombineInEitherOrder failed in the order "restored row first" before the change (authority still held, no change known) and passes in both orders now. TestNode, TestGroupSupervisor, TestFailoverDuty and TestMembership pass in the release build.

--- a/Libraries/LibAuthority/GroupRecord.cpp
+++ b/Libraries/LibAuthority/GroupRecord.cpp
@@ -14,6 +14,15 @@
 
 } // namespace
 
+bool
+GroupRecord::IsNewerThan(const GroupRecord& aOther) const
+{
+  const bool mayBeRestored = !IsOfCurrentEra() || !aOther.IsOfCurrentEra();
+  if (mayBeRestored && basis != aOther.basis)
+    return basis > aOther.basis;
+  return version > aOther.version;
+}
+
 void
 GroupRecord::Complete(std::string aPrimary,
                       Session::Term aTerm,
--- a/Libraries/LibAuthority/PrimaryAuthority.cpp
+++ b/Libraries/LibAuthority/PrimaryAuthority.cpp
@@ -8,23 +8,27 @@
 PrimaryAuthority::Observe(const GroupRecord& aRecord,
                           Core::Instant aRequestedAt)
 {
-  if (record_ && aRecord.version < record_->version)
-    return false;
-  const bool isNew = !record_ || aRecord.version > record_->version;
-  const bool isOutdated = record_ && aRecord.basis < record_->basis;
-  if (isNew && isOutdated) {
-    // A restored store has brought back a record that has been replaced since.
-    // Only its version counts: the next write replaces this row.
-    record_->version = aRecord.version;
-  } else if (isNew) {
+  if (!record_) {
+    record_ = aRecord;
+    Renew(aRequestedAt);
+    return true;
+  }
+  const bool isOldRow = aRecord.version < record_->version;
+  const bool isNewRow = aRecord.version > record_->version;
+  const bool isNewContent = aRecord.IsNewerThan(*record_);
+  // The next write replaces the newest row, whatever its content.
+  const std::uint64_t version = std::max(aRecord.version, record_->version);
+  if (isNewContent) {
     // A lease is valid only for the primary that it was granted for.
-    if (!record_ || record_->term != aRecord.term ||
-        record_->primary != aRecord.primary || aRecord.change)
+    if (record_->term != aRecord.term || record_->primary != aRecord.primary ||
+        aRecord.change)
       requestedAt_ = kNoRequestTime;
     record_ = aRecord;
   }
-  Renew(aRequestedAt);
-  return isNew;
+  record_->version = version;
+  if (!isOldRow)
+    Renew(aRequestedAt);
+  return isNewRow || isNewContent;
 }
 
 void
--- a/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
@@ -59,6 +59,12 @@
     return StoreEraOf(basis) == StoreEraOf(version);
   }
 
+  /**
+   * True if this record's content was written after aOther's. The versions show
+   * that, unless a restored store has brought one of the contents back.
+   */
+  bool IsNewerThan(const GroupRecord& aOther) const;
+
   /**
    * Ends the change: makes aPrimary the primary of aTerm, whose log begins at
    * aPosition.
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryAuthority.h
@@ -49,9 +49,12 @@
 
   /**
    * Processes a record that the store held at some time after aRequestedAt.
-   * Returns true if its row is newer than the known one. Ignores an older row.
-   * Keeps the known content if the row's content is older, which happens after
-   * the store was restored from a copy. A record that was written before the
+   * Returns true if its row or its content is newer than the known one.
+   *
+   * After the store was restored from a copy, the newest row may have an older
+   * content than a record that a node has read before, or that another node
+   * sends. The newest content and the newest row's version are kept, in
+   * whichever order they arrive. A record that was written before the
    * restoration grants no authority until the holder of the failover duty has
    * confirmed it, since later changes may be lost.
    */
--- a/Libraries/LibPooler/GroupRouter.cpp
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -101,13 +101,15 @@
     pool->SetLimit(aLimit);
 }
 
-void
+bool
 GroupRouter::ObserveRecord(const Authority::GroupRecord& aRecord,
                            Core::Instant aRequestedAt)
 {
-  if (authority_.Observe(aRecord, aRequestedAt))
-    samples_.Clamp(aRecord.starts);
+  const bool isNew = authority_.Observe(aRecord, aRequestedAt);
+  if (isNew)
+    samples_.Clamp(authority_.Record()->starts);
   NotifyWaiters();
+  return isNew;
 }
 
 void
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -352,16 +352,17 @@
 Node::Observe(const Authority::GroupRecord& aRecord, Core::Instant aRequestedAt)
 {
   GroupRouter& router = RouterOf(aRecord.group);
-  const auto& known = router.Authority().Record();
-  if (!known || known->version < aRecord.version)
+  const bool isNew = router.ObserveRecord(aRecord, aRequestedAt);
+  const Authority::GroupRecord& known = *router.Authority().Record();
+  if (isNew)
     log_("group_record",
-         { { "group", aRecord.group },
-           { "primary", aRecord.primary },
-           { "term", aRecord.term },
-           { "changing", aRecord.change.has_value() },
-           { "version", aRecord.version } });
-  router.ObserveRecord(aRecord, aRequestedAt);
-  duty_.SetRecord(*router.Authority().Record());
+         { { "group", known.group },
+           { "primary", known.primary },
+           { "term", known.term },
+           { "changing", known.change.has_value() },
+           { "version", known.version },
+           { "of_current_era", known.IsOfCurrentEra() } });
+  duty_.SetRecord(known);
 }
 
 bool
--- a/Libraries/LibPooler/include/LibPooler/GroupRouter.h
+++ b/Libraries/LibPooler/include/LibPooler/GroupRouter.h
@@ -78,8 +78,11 @@
   int ConnectionLimit() const { return connectionLimit_; }
   void SetGoals(const GroupGoals& aGoals) { goals_ = aGoals; }
 
-  /** Processes a record that the store held at some time after aRequestedAt. */
-  void ObserveRecord(const Authority::GroupRecord& aRecord,
+  /**
+   * Processes a record that the store held at some time after aRequestedAt.
+   * Returns true if it changes the known record (Authority().Record()).
+   */
+  bool ObserveRecord(const Authority::GroupRecord& aRecord,
                      Core::Instant aRequestedAt);
   /** Extends the authority: a request sent at aRequestedAt showed no change. */
   void RenewAuthority(Core::Instant aRequestedAt);
--- a/Tests/LibAuthority/TestLeases.cpp
+++ b/Tests/LibAuthority/TestLeases.cpp
@@ -240,6 +240,35 @@
   BOOST_TEST(authority.HoldsFor("db2", 2, kStart + 10s));
 }
 
+/**
+ * A node may read the restored row before or after it hears of the newer record
+ * from another node. If the order decided, it would go on using the primary
+ * that the newer record takes away, though it has confirmed the record.
+ */
+BOOST_DATA_TEST_CASE(RestoredRowAndNewerRecordCombineInEitherOrder,
+                     data::make({ false, true }),
+                     isRestoredRowFirst)
+{
+  Authority::PrimaryAuthority authority({ 7500ms, 1200ms });
+  GroupRecord known = RecordOf(1, Authority::MakeStoreVersion(1, 30));
+  known.basis = Authority::MakeStoreVersion(1, 29);
+  authority.Observe(known, kStart);
+  GroupRecord change = RecordOf(1, Authority::MakeStoreVersion(1, 50));
+  change.basis = known.version;
+  change.change = Authority::PrimaryChange{};
+  GroupRecord restored = known;
+  restored.version = Authority::MakeStoreVersion(2, 30);
+  const auto observe = [&](const GroupRecord& aRecord) {
+    authority.Observe(aRecord, Authority::kNoRequestTime);
+  };
+  observe(isRestoredRowFirst ? restored : change);
+  observe(isRestoredRowFirst ? change : restored);
+  BOOST_TEST(!authority.Holds(kStart + 1ms));
+  BOOST_TEST(authority.Record()->change.has_value());
+  // The next write has to replace the row that the store has.
+  BOOST_TEST(authority.Record()->version == restored.version);
+}
+
 BOOST_AUTO_TEST_CASE(AuthorityLastsFromTheRequestTime)
 {
   Authority::PrimaryAuthority authority({ 7500ms, 1200ms });
@@ -326,6 +355,7 @@
   GroupRecord record = RecordOf(3, 0);
   record.change = Authority::PrimaryChange{ "db9", true };
   record.starts = { { 2, 100 }, { 3, 180 } };
+  record.basis = Authority::MakeStoreVersion(2, 17);
   Core::LastReason reason;
   const auto back = GroupRecord::Parse("g", record.ToText(), reason);
   BOOST_REQUIRE(back.has_value());
@@ -333,6 +363,7 @@
   BOOST_TEST(back->change->candidate == "db9");
   BOOST_TEST(back->change->isSwitchover);
   BOOST_TEST(back->starts.size() == 2U);
+  BOOST_TEST(back->basis == record.basis);
   const auto earlier = GroupRecord::Parse(
     "g", R"({"term":3,"primary":"db1","candidate":"db9","starts":[]})", reason);
   BOOST_REQUIRE(earlier.has_value());
