DutyLease: Wait for a holder that the store has forgotten, also after a start

What callers could see: two nodes that replace primaries at the same time.

Cause: only a process that had seen the time before the restoration knew that the lease's row may have lost its latest holder. One that started afterwards took a missing or released row at once, while the forgotten holder could still promote.

Change: the row says which version it replaced, as the groups' records do. A row that was written before the restoration is taken only once it has been unchanged for the lease's duration, whoever looks at it. The remembered era of the store and the report of every version to the lease are no longer needed. Rows of earlier releases are read as before. In a store that reports an era, the first start of a deployment takes the duty one lease duration later, since no row exists.

Evidence: RestoredLeaseIsTakenAfterItsDuration has each row with and without an earlier look at it; three of the five rows failed for a process that starts later. ReleasedLeaseCanBeTakenImmediately checks that another process takes the released row instead of the row's text, which is no longer empty; it is as strict. All cases of TestLeases, TestFailoverDuty, TestNode, TestMembership, TestGroupSupervisor and TestNodeOnLoopback pass in the release build.

--- a/Libraries/LibAuthority/DutyLease.cpp
+++ b/Libraries/LibAuthority/DutyLease.cpp
@@ -1,9 +1,51 @@
 #include <LibAuthority/DutyLease.h>
 
+#include <boost/json.hpp>
+
 #include <utility>
 
 namespace Authority {
 
+namespace {
+
+/** What the lease's row says. */
+struct LeaseContent
+{
+  /** Empty if the lease has been released. */
+  std::string holder;
+  /** The version of the row that this one replaced. */
+  std::uint64_t basis = 0;
+};
+
+std::string
+ToText(const LeaseContent& aContent)
+{
+  const boost::json::object json{ { "holder", aContent.holder },
+                                  { "basis", aContent.basis } };
+  return boost::json::serialize(json);
+}
+
+/**
+ * Earlier releases write the holder's name only, or nothing. Any other text
+ * counts as the name of a holder as well, so that the lease has to expire.
+ */
+LeaseContent
+ParseContent(const std::string& aText)
+{
+  boost::json::error_code error;
+  const boost::json::value json = boost::json::parse(aText, error);
+  const boost::json::object* fields = error ? nullptr : json.if_object();
+  const auto* holder = fields ? fields->if_contains("holder") : nullptr;
+  const auto* basis = fields ? fields->if_contains("basis") : nullptr;
+  if (holder == nullptr || !holder->is_string() || basis == nullptr)
+    return { aText };
+  LeaseContent content{ std::string(holder->as_string()) };
+  content.basis = basis->to_number<std::uint64_t>(error);
+  return content;
+}
+
+} // namespace
+
 DutyLease::DutyLease(std::string aKey,
                      std::string aSelf,
                      DutyLeaseTiming aTiming)
@@ -16,13 +58,14 @@
 void
 DutyLease::Observe(const StoredRow& aRow, Core::Instant aNow)
 {
-  NoteVersion(aRow.version, aNow);
   const bool isNewVersion = !hasObserved_ || aRow.version > version_;
   hasObserved_ = true;
   if (!isNewVersion)
     return;
+  const LeaseContent content = ParseContent(aRow.value);
   version_ = aRow.version;
-  holder_ = aRow.value;
+  holder_ = content.holder;
+  basis_ = content.basis;
   unchangedSince_ = aNow;
   if (holder_ != self_) {
     heldUntil_ = {};
@@ -37,15 +80,10 @@
   nextRenewal_ = aNow;
 }
 
-void
-DutyLease::NoteVersion(std::uint64_t aVersion, Core::Instant aNow)
+bool
+DutyLease::IsRowOfCurrentEra() const
 {
-  const std::uint64_t era = StoreEraOf(aVersion);
-  if (era_ && era <= *era_)
-    return;
-  if (era_)
-    noTakeoverBefore_ = aNow + timing_.duration;
-  era_ = era;
+  return StoreEraOf(basis_) == StoreEraOf(version_);
 }
 
 bool
@@ -54,25 +92,35 @@
   return token_ != 0 && StoreEraOf(token_) == StoreEraOf(version_);
 }
 
+bool
+DutyLease::MayWrite(Core::Instant aNow) const
+{
+  if (holder_ == self_ && Holds(aNow))
+    return true;
+  // A row from before a restoration of the store may name an earlier holder, or
+  // none, while the last one still holds the lease.
+  const bool isExpired = aNow - unchangedSince_ > timing_.duration;
+  const bool isUnheld = holder_.empty() || holder_ == self_;
+  return isExpired || (isUnheld && IsRowOfCurrentEra());
+}
+
 std::optional<StoredRow>
 DutyLease::NextWrite(Core::Instant aNow)
 {
   if (!hasObserved_ || isWriting_ || isReleased_)
     return std::nullopt;
-  const bool isMine = holder_ == self_;
-  if (isMine && aNow < nextRenewal_)
-    return std::nullopt;
-  // The row of a restored store may name an earlier holder, or none, while the
-  // last one still holds the lease.
-  const bool isRenewal = isMine && Holds(aNow);
-  if (!isRenewal && aNow < noTakeoverBefore_)
+  if (holder_ == self_ && aNow < nextRenewal_)
     return std::nullopt;
-  const bool isFree = StoreNumberOf(version_) == 0 || holder_.empty() ||
-                      aNow - unchangedSince_ > timing_.duration;
-  if (!isMine && !isFree)
+  if (!MayWrite(aNow))
     return std::nullopt;
   isWriting_ = true;
-  return StoredRow{ key_, self_, version_ };
+  return RowOf(self_);
+}
+
+StoredRow
+DutyLease::RowOf(const std::string& aHolder) const
+{
+  return { key_, ToText({ aHolder, version_ }), version_ };
 }
 
 void
@@ -86,6 +134,7 @@
   if (aOutcome.result != WriteResult::Applied || aOutcome.version < version_)
     return;
   const bool isRenewal = IsTokenOfCurrentEra() && holder_ == self_;
+  basis_ = version_;
   version_ = aOutcome.version;
   if (!isRenewal || !IsTokenOfCurrentEra())
     token_ = aOutcome.version;
@@ -102,7 +151,7 @@
   heldUntil_ = {};
   if (!isHeld || isWriting_)
     return std::nullopt;
-  return StoredRow{ key_, "", version_ };
+  return RowOf("");
 }
 
 bool
--- a/Libraries/LibAuthority/include/LibAuthority/DutyLease.h
+++ b/Libraries/LibAuthority/include/LibAuthority/DutyLease.h
@@ -39,17 +39,12 @@
 
   /**
    * Processes a row that was read from the store (version 0: no row). aNow is
-   * the time at which the reply came.
+   * the time at which the reply came. A row that was written before the store
+   * was restored is free only once it has been unchanged for the lease
+   * duration, since the last holder may be one that the store has forgotten.
    */
   void Observe(const StoredRow& aRow, Core::Instant aNow);
 
-  /**
-   * Reports a version in any reply of the store. After a restoration of the
-   * store, nobody takes the lease over for its duration, since the last holder
-   * may be one that the store has forgotten.
-   */
-  void NoteVersion(std::uint64_t aVersion, Core::Instant aNow);
-
   /** True if the row must be read before the next write. */
   bool NeedsRead() const { return !hasObserved_; }
 
@@ -79,7 +74,14 @@
   const std::string& Holder() const { return holder_; }
 
 private:
+  /**
+   * True if the row was written in the era in which it was read. Otherwise the
+   * store may have lost later writes of it in a restoration.
+   */
+  bool IsRowOfCurrentEra() const;
   bool IsTokenOfCurrentEra() const;
+  bool MayWrite(Core::Instant aNow) const;
+  StoredRow RowOf(const std::string& aHolder) const;
 
   std::string key_;
   std::string self_;
@@ -87,14 +89,13 @@
   /** The row's version as last observed or written. */
   std::uint64_t version_ = 0;
   std::string holder_;
+  /** The version of the row that the known one replaced. */
+  std::uint64_t basis_ = 0;
   bool hasObserved_ = false;
   Core::Instant unchangedSince_{};
   Core::Instant heldUntil_{};
   Core::Instant nextRenewal_{};
   std::uint64_t token_ = 0;
-  /** The store's newest era, once known. */
-  std::optional<std::uint64_t> era_;
-  Core::Instant noTakeoverBefore_ = Core::Instant::min();
   bool isWriting_ = false;
   bool isReleased_ = false;
 };
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -395,7 +395,6 @@
 void
 FailoverDuty::OnRowsApplied(std::uint64_t aVersion)
 {
-  lease_.NoteVersion(aVersion, scheduler_.Now());
   appliedVersion_ = std::max(appliedVersion_, aVersion);
   for (auto& [group, revocation] : revocations_)
     StartRevocation(revocation);
--- a/Tests/LibAuthority/TestLeases.cpp
+++ b/Tests/LibAuthority/TestLeases.cpp
@@ -142,13 +142,39 @@
   DutyLease lease = HeldLease();
   const auto row = lease.Release(kStart + 100ms);
   BOOST_REQUIRE(row.has_value());
-  BOOST_TEST(row->value.empty());
   BOOST_TEST(!lease.Holds(kStart + 101ms));
   DutyLease next("lease/x", "next", kTiming);
-  next.Observe({ "lease/x", "", 9 }, kStart + 200ms);
+  next.Observe({ "lease/x", row->value, 9 }, kStart + 200ms);
+  BOOST_TEST(next.Holder().empty());
   BOOST_TEST(next.NextWrite(kStart + 201ms).has_value());
 }
 
+/** A node of an earlier release writes nothing but the holder's name. */
+BOOST_AUTO_TEST_CASE(RowOfAnEarlierReleaseNamesItsHolder)
+{
+  DutyLease lease("lease/x", "me", kTiming);
+  lease.Observe({ "lease/x", "other", 7 }, kStart);
+  BOOST_TEST(lease.Holder() == "other");
+  BOOST_TEST(!lease.NextWrite(kStart + 1999ms).has_value());
+  lease.Observe({ "lease/x", "", 9 }, kStart + 1999ms);
+  BOOST_TEST(lease.NextWrite(kStart + 1999ms).has_value());
+}
+
+/** Waits only while the row doesn't show who wrote it after the restoration. */
+BOOST_AUTO_TEST_CASE(LeaseReleasedAfterARestorationCanBeTakenImmediately)
+{
+  DutyLease lease("lease/x", "me", kTiming);
+  const std::uint64_t restored = Authority::MakeStoreVersion(2, 30);
+  lease.Observe({ "lease/x", "", restored }, kStart);
+  BOOST_REQUIRE(lease.NextWrite(kStart + 2001ms).has_value());
+  lease.OnWritten({ WriteResult::Applied, restored + 1 }, kStart + 2001ms);
+  const auto row = lease.Release(kStart + 2100ms);
+  BOOST_REQUIRE(row.has_value());
+  DutyLease next("lease/x", "next", kTiming);
+  next.Observe({ "lease/x", row->value, restored + 2 }, kStart + 2200ms);
+  BOOST_TEST(next.NextWrite(kStart + 2201ms).has_value());
+}
+
 /** The lease's row in a store that was restored from a copy. */
 struct RestoredLeaseCase
 {
@@ -179,12 +205,16 @@
  * that of the forgotten holder.
  */
 BOOST_DATA_TEST_CASE(RestoredLeaseIsTakenAfterItsDuration,
-                     data::make(kRestoredLeases))
+                     data::make(kRestoredLeases) * data::make({ false, true }),
+                     sample,
+                     isStartedLater)
 {
   DutyLease lease("lease/x", "me", kTiming);
   const std::uint64_t forgotten = Authority::MakeStoreVersion(1, 50);
   const std::uint64_t restored = Authority::MakeStoreVersion(2, sample.number);
-  lease.Observe({ "lease/x", "other", forgotten }, kStart);
+  // A process that starts after the restoration hasn't seen the earlier row.
+  if (!isStartedLater)
+    lease.Observe({ "lease/x", "other", forgotten }, kStart);
   lease.Observe({ "lease/x", sample.holder, restored }, kStart + 100ms);
   BOOST_TEST(!lease.NextWrite(kStart + 2099ms).has_value());
   const auto row = lease.NextWrite(kStart + 2101ms);
