GroupSupervisor: Ask all databases before a restored record is confirmed

What callers could see: acknowledged commits missing, because a former primary is used again after the store was restored.

Cause: the holder of the failover duty wrote a restored record again as soon as the primary that it names called itself one. A holder that started after the restoration doesn't know that another was promoted since, and a former primary may not have noticed it. Without a record, the first database that called itself primary was recorded.

Change: while the record is missing or from before a restoration, the holder asks all databases of the group. AssessPrimary decides: a database of a later term, or a recorded primary that has stepped down, leads to a change of primary; otherwise the record is confirmed once all have replied, or after the time in which a candidate is chosen. A group's first record is of the store's current era, so that it isn't written twice.

Evidence: RecordsThePrimaryOfTheLatestTermFirst and ARestoredRecordIsNotConfirmedWhileASuccessorLeads failed before the change (the former primary was recorded) and pass. TestNode, TestMembership, TestFailoverDuty and TestNodeOnLoopback pass in the release build.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -31,6 +31,12 @@
  */
 constexpr Core::Duration kMinSwitchoverInterval = std::chrono::seconds(15);
 
+/**
+ * The interval between the beginnings of surveys, while they find no primary or
+ * their result can't be written.
+ */
+constexpr Core::Duration kSurveyInterval = std::chrono::milliseconds(500);
+
 /** A stage whose write got no reply is abandoned after this. */
 constexpr Core::Duration kStageTimeout = std::chrono::seconds(3);
 
@@ -137,13 +143,17 @@
   heldDuty_ = true;
   switch (stage_) {
     case Stage::Monitoring:
-      if (!record_)
-        FindFirstPrimary();
-      else if (record_->change)
+      if (record_ && record_->change)
         BeginFencing();
+      else if (!record_ || !record_->IsOfCurrentEra())
+        BeginSurvey();
       else
         MonitorPrimary();
       return;
+    case Stage::Surveying:
+      ProbeAllDatabases();
+      CheckSurvey();
+      return;
     case Stage::Fencing:
       CheckFence();
       return;
@@ -171,42 +181,56 @@
     aId, timing_.probeTimeout, Guard([this, aId](const ProbeOutcome& aOutcome) {
       if (aOutcome.status)
         statuses_[aId] = *aOutcome.status;
-      if (stage_ == Stage::Monitoring && !record_)
-        OnFirstStatuses();
     }));
 }
 
 void
-GroupSupervisor::FindFirstPrimary()
+GroupSupervisor::BeginSurvey()
 {
-  const Core::Instant now = scheduler_.Now();
-  if (now < nextProbe_)
+  if (scheduler_.Now() < nextSurvey_)
     return;
-  nextProbe_ = now + timing_.probeInterval;
-  for (const SupervisedDatabase& database : databases_)
-    ProbeAndStoreStatus(database.id);
+  nextSurvey_ = scheduler_.Now() + kSurveyInterval;
+  EnterStage(Stage::Surveying);
+  statuses_.clear();
+  ProbeAllDatabases();
 }
 
 void
-GroupSupervisor::OnFirstStatuses()
-{
-  // Nothing is promoted before a record exists, so there is at most one
-  // primary.
-  for (const auto& [id, status] : statuses_) {
-    if (!status.isPrimary)
-      continue;
-    GroupRecord record;
-    record.group = group_;
-    record.primary = id;
-    record.term = status.term;
-    EnterStage(Stage::WritingEnd);
-    port_.Log("group_first_primary",
-              { { "group", group_ }, { "database", id } });
-    WriteAndThen(record, [this] { Abandon(); });
-    return;
+GroupSupervisor::CheckSurvey()
+{
+  const bool isTimedOut =
+    scheduler_.Now() - stageSince_ > timing_.choiceTimeout;
+  const SurveyResult result =
+    AssessPrimary({ record_, databases_, statuses_, isTimedOut });
+  switch (result.decision) {
+    case SurveyDecision::Wait:
+      if (isTimedOut)
+        Abandon();
+      return;
+    case SurveyDecision::RecordFirst:
+      RecordFirst(result.database);
+      return;
+    case SurveyDecision::ConfirmRecord:
+      ConfirmRecord();
+      return;
+    case SurveyDecision::ReplacePrimary:
+      BeginChange("no_longer_primary");
   }
 }
 
+void
+GroupSupervisor::RecordFirst(const std::string& aPrimary)
+{
+  port_.Log("group_first_primary",
+            { { "group", group_ }, { "database", aPrimary } });
+  GroupRecord record;
+  record.group = group_;
+  record.primary = aPrimary;
+  record.term = statuses_.at(aPrimary).term;
+  record.version = port_.VersionOfMissingRow();
+  WriteEnd(record);
+}
+
 void
 GroupSupervisor::MonitorPrimary()
 {
@@ -228,9 +252,7 @@
   }
   ConsiderSwitchover();
   // Replies to statements show that the primary is alive, too.
-  const bool wasSeenRecently =
-    now - primaryLastSeenAt_ < timing_.probeInterval &&
-    record_->IsOfCurrentEra();
+  const bool wasSeenRecently = now - primaryLastSeenAt_ < timing_.probeInterval;
   if (isProbing_ || wasSeenRecently || now < nextProbe_)
     return;
   isProbing_ = true;
@@ -292,8 +314,6 @@
     const Sql::DatabaseStatus& status = *aOutcome.status;
     if (status.isPrimary && status.term == record_->term) {
       primaryLastSeenAt_ = now;
-      if (!record_->IsOfCurrentEra())
-        ConfirmRecord();
       return;
     }
     if (HasEligibleCandidate() || !status.isPrimary)
@@ -312,7 +332,9 @@
             { { "group", group_ },
               { "primary", record_->primary },
               { "term", record_->term } });
-  WriteEnd(*record_);
+  // The primary may be silent, so this doesn't count as a reply of it.
+  EnterStage(Stage::WritingEnd);
+  WriteAndThen(*record_, [this] { Abandon(); });
 }
 
 void
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -4,6 +4,7 @@
 #include <LibAuthority/CoordinationStore.h>
 #include <LibAuthority/GroupRecord.h>
 #include <LibAuthority/PrimaryAuthority.h>
+#include <LibAuthority/PrimarySurvey.h>
 #include <LibAuthority/SampleHistory.h>
 #include <LibCore/Scheduler.h>
 #include <LibSql/DatabaseLink.h>
@@ -98,6 +99,12 @@
                        Core::Duration aTimeout,
                        std::function<void(PromoteResult)> aDone) = 0;
 
+  /**
+   * The version with which the store would report a row that doesn't exist: the
+   * number 0 in the store's current era.
+   */
+  virtual std::uint64_t VersionOfMissingRow() const = 0;
+
   /** Writes the record if the stored version is still aRecord.version. */
   virtual void WriteRecord(const GroupRecord& aRecord,
                            std::function<void(WriteOutcome)> aDone) = 0;
@@ -169,7 +176,10 @@
   void ReportPrimaryAlive(const SampleHistory::Sample& aSample);
 
   /** True while this supervisor is changing the primary. */
-  bool IsChanging() const { return stage_ != Stage::Monitoring; }
+  bool IsChanging() const
+  {
+    return stage_ != Stage::Monitoring && stage_ != Stage::Surveying;
+  }
 
   /** Runs due actions; to be called several times per second. */
   void Tick();
@@ -177,8 +187,12 @@
 private:
   enum class Stage
   {
-    /** Monitoring the primary, or the group has no record yet. */
     Monitoring,
+    /**
+     * Requesting all databases' statuses, because the group has no record, or
+     * one that was written before the store was restored from a copy.
+     */
+    Surveying,
     /** Writing the record that begins the change. */
     WritingChange,
     /** Waiting until no node can use the old primary any more. */
@@ -196,8 +210,9 @@
   void EnterStage(Stage aStage);
   /** Returns to Monitoring, which continues from the stored record. */
   void Abandon();
-  void FindFirstPrimary();
-  void OnFirstStatuses();
+  void BeginSurvey();
+  void CheckSurvey();
+  void RecordFirst(const std::string& aPrimary);
   void MonitorPrimary();
   void OnPrimaryProbe(const ProbeOutcome& aOutcome);
   void ConsiderSwitchover();
@@ -239,6 +254,7 @@
   bool isProbing_ = false;
   bool heldDuty_ = false;
   Core::Instant nextProbe_{};
+  Core::Instant nextSurvey_ = Core::Instant::min();
   Core::Instant primaryLastSeenAt_{};
   /** The end of the primary's log in its latest reply. */
   std::optional<Session::LogPosition> primaryPosition_;
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -144,6 +144,11 @@
                const std::string& aId,
                Core::Duration aTimeout,
                std::function<void(Authority::PromoteResult)> aDone) override;
+  std::uint64_t VersionOfMissingRow() const override
+  {
+    return Authority::MakeStoreVersion(Authority::StoreEraOf(appliedVersion_),
+                                       0);
+  }
   void WriteRecord(const Authority::GroupRecord& aRecord,
                    std::function<void(Authority::WriteOutcome)> aDone) override;
   void RevokeEverywhere(const Authority::GroupRecord& aRecord,
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -122,6 +122,7 @@
       ++members[aId].status.term;
     });
   }
+  std::uint64_t VersionOfMissingRow() const override { return 0; }
   void WriteRecord(const GroupRecord& aRecord,
                    std::function<void(Authority::WriteOutcome)> aDone) override
   {
@@ -271,6 +272,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(Supervisor, Fixture)
 
+/**
+ * A store that was restored from a copy without the group's record: a former
+ * primary may not have noticed that another one replaced it.
+ */
+BOOST_AUTO_TEST_CASE(RecordsThePrimaryOfTheLatestTermFirst)
+{
+  members["b"].status.isPrimary = true;
+  members["b"].status.term = 2;
+  AdvanceBy(1s);
+  BOOST_REQUIRE(stored.has_value());
+  BOOST_TEST(stored->primary == "b");
+  BOOST_TEST(stored->term == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(KeepsAHealthyPrimary)
 {
   Begin();
@@ -472,6 +487,38 @@
   BOOST_TEST(stored->version == confirmedVersion);
 }
 
+/**
+ * The restored record names a primary that another one has replaced, but that
+ * has not noticed it. Confirmed, it would take the place of its successor, and
+ * commits that the successor acknowledged would be missing.
+ */
+BOOST_AUTO_TEST_CASE(ARestoredRecordIsNotConfirmedWhileASuccessorLeads)
+{
+  Begin();
+  members["b"].status.isPrimary = true;
+  members["b"].status.term = 2;
+  stored->version = version = Authority::MakeStoreVersion(2, 3);
+  supervisor.SetRecord(stored);
+  AdvanceBy(2s);
+  BOOST_TEST(stored->primary == "b");
+  BOOST_TEST(stored->term == 2U);
+  BOOST_TEST(stored->IsOfCurrentEra());
+  BOOST_TEST(promoted.empty());
+}
+
+/** Without a reply of one database, a restored record is confirmed in time. */
+BOOST_AUTO_TEST_CASE(ARestoredRecordIsConfirmedDespiteASilentReplica)
+{
+  Begin();
+  members["c"].isReachable = false;
+  stored->version = version = Authority::MakeStoreVersion(2, 3);
+  supervisor.SetRecord(stored);
+  AdvanceBy(1s);
+  BOOST_TEST(stored->IsOfCurrentEra());
+  BOOST_TEST(stored->primary == "a");
+  BOOST_TEST(promoted.empty());
+}
+
 /** The restored record names a primary that another one has replaced. */
 BOOST_AUTO_TEST_CASE(ARestoredRecordOfAFormerPrimaryIsReplaced)
 {
