GroupSupervisor: Begin a restored change of primary anew

What callers could see: the present primary replaced by a former one, with commits missing.

Cause: a copy may hold a record whose change has been completed, and whose candidate has been replaced, since. Whoever holds the failover duty went on with it and had the candidate promoted again. Members that know the newer record didn't take the restored one for new, but confirmed that they had given up the primary.

Change: a change that was written before the restoration begins anew: its record is written first, which every member takes for the newest, and the candidate is chosen by what the databases say.

Evidence: ARestoredChangeDoesNotPromoteItsCandidateAgain failed before (the candidate was promoted over the primary of term 3) and passes. All cases of TestGroupSupervisor, TestFailoverDuty and TestNodeOnLoopback pass in the release build.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -144,7 +144,7 @@
   switch (stage_) {
     case Stage::Monitoring:
       if (record_ && record_->change)
-        BeginFencing();
+        ContinueChange();
       else if (!record_ || !record_->IsOfCurrentEra())
         BeginSurvey();
       else
@@ -379,6 +379,17 @@
   WriteAndThen(record, [this] { BeginFencing(); });
 }
 
+void
+GroupSupervisor::ContinueChange()
+{
+  // A restored change may have ended, and its candidate may have been replaced.
+  // It begins anew, so that the candidate is chosen by what the databases say.
+  if (record_->IsOfCurrentEra())
+    BeginFencing();
+  else
+    BeginChange("change_restored", record_->change->isSwitchover);
+}
+
 void
 GroupSupervisor::BeginFencing()
 {
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -219,6 +219,8 @@
   /** Writes the record again after the store was restored from a copy. */
   void ConfirmRecord();
   void BeginChange(std::string_view aReason, bool aIsSwitchover = false);
+  /** Continues a change that this or another holder of the duty has begun. */
+  void ContinueChange();
   void BeginFencing();
   void CheckFence();
   void OnFenced(std::string_view aHow);
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -506,6 +506,31 @@
   BOOST_TEST(promoted.empty());
 }
 
+/**
+ * The restored record has a change in progress that has been completed, and
+ * whose new primary has been replaced since. Promoting its candidate again
+ * would replace the present primary.
+ */
+BOOST_AUTO_TEST_CASE(ARestoredChangeDoesNotPromoteItsCandidateAgain)
+{
+  Begin();
+  holdsDuty = false;
+  AdvanceBy(100ms);
+  members["a"].status.isPrimary = false;
+  members["b"].status.isPrimary = true;
+  for (auto& [id, member] : members)
+    member.status.term = 3;
+  stored->change = Authority::PrimaryChange{ "c" };
+  stored->version = version = Authority::MakeStoreVersion(2, 3);
+  supervisor.SetRecord(stored);
+  holdsDuty = true;
+  AdvanceBy(3s);
+  BOOST_TEST(stored->primary == "b");
+  BOOST_TEST(stored->term == 3U);
+  BOOST_TEST(!stored->change.has_value());
+  BOOST_TEST(promoted.empty());
+}
+
 /** Without a reply of one database, a restored record is confirmed in time. */
 BOOST_AUTO_TEST_CASE(ARestoredRecordIsConfirmedDespiteASilentReplica)
 {
