FailoverDuty: Ask members that two restorations have made the store forget

What callers could see: a write acknowledged by a primary that has been replaced.

Cause: the members known before a restoration were replaced by those known before the next one. A member that the first one had made the store forget, and that had not registered again, was asked no more.

Change: they are kept for as long as they may hold authority.

Evidence: MembersForgottenTwiceConfirmAChange failed before and passes.

--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -408,7 +408,8 @@
     Authority::StoreEraOf(aVersion) > Authority::StoreEraOf(appliedVersion_);
   if (!isRestored)
     return;
-  formerMembers_ = membership_.Others();
+  // Includes those that an earlier restoration has made the store forget.
+  formerMembers_ = MembersWithAuthority();
   // The last holder of the duty in the earlier era may have renewed their
   // authority until its lease ended.
   formerMembersUntil_ = scheduler_.Now() + settings_.lease.duration +
--- a/Tests/LibPooler/TestFailoverDuty.cpp
+++ b/Tests/LibPooler/TestFailoverDuty.cpp
@@ -47,6 +47,15 @@
     self.incarnation = "1";
     return self;
   }
+  static Pooler::Member Other()
+  {
+    Pooler::Member other = Self();
+    other.name = "other";
+    other.addresses = { { "127.0.0.1", 1 },
+                        { "127.0.0.1", 2 },
+                        { "127.0.0.1", 3 } };
+    return other;
+  }
   static Pooler::FailoverDuty::Settings DutySettings()
   {
     Pooler::FailoverDuty::Settings settings;
@@ -202,12 +211,7 @@
                        MembersThatTheStoreHasForgottenConfirmAChange,
                        boost::unit_test::data::make(kForgottenMembers))
 {
-  Pooler::Member member = Self();
-  member.name = "other";
-  member.addresses = { { "127.0.0.1", 1 },
-                       { "127.0.0.1", 2 },
-                       { "127.0.0.1", 3 } };
-  membership.Apply(Pooler::MemberRoster::RowOf(member));
+  membership.Apply(Pooler::MemberRoster::RowOf(Other()));
   duty.OnRowsApplied(sample.listedAt);
   duty.OnSnapshotBegins(MakeStoreVersion(2, 20));
   membership.BeginReload();
@@ -223,3 +227,24 @@
   BOOST_TEST(isConfirmed);
   BOOST_TEST(recipients.contains("other#1") == sample.isAsked);
 }
+
+/**
+ * Members that the store forgot twice in quick succession may hold authority as
+ * well, although the latest list never had them.
+ */
+BOOST_FIXTURE_TEST_CASE(MembersForgottenTwiceConfirmAChange, Fixture)
+{
+  membership.Apply(Pooler::MemberRoster::RowOf(Other()));
+  duty.OnRowsApplied(MakeStoreVersion(1, 50));
+  for (const std::uint64_t era : { 2U, 3U }) {
+    duty.OnSnapshotBegins(MakeStoreVersion(era, 20));
+    membership.BeginReload();
+    duty.OnRowsApplied(MakeStoreVersion(era, 20));
+    AdvanceBy(1s);
+  }
+  Authority::GroupRecord record;
+  record.group = "g";
+  record.version = MakeStoreVersion(3, 15);
+  Port().RevokeEverywhere(record, [] {});
+  BOOST_TEST(recipients.contains("other#1"));
+}
