FailoverDuty: Wait for members that the store forgot before the node started

What callers could see: a write acknowledged by a primary that has been replaced.

Cause: a node that starts after a restoration never knew the members that the store has forgotten. If it takes the failover duty, all members that it knows confirm a change at once, while a forgotten one that can't reach the store may still use the old primary.

Change: a node whose first rows hold a record from before a restoration counts confirmations only once such a member's authority has ended.

--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -116,12 +116,14 @@
 void
 FailoverDuty::SetRecord(const Authority::GroupRecord& aRecord)
 {
+  if (!aRecord.IsOfCurrentEra())
+    NoteEarlierRestoration(aRecord.version);
   newestRecord_ = std::max(newestRecord_, aRecord.version);
   primaries_[aRecord.group] = aRecord.primary;
   SupervisorOf(aRecord.group).SetRecord(aRecord);
   const auto revocation = revocations_.find(aRecord.group);
   const bool isSuperseded = revocation != revocations_.end() &&
-                            revocation->second.recordVersion < aRecord.version;
+                            revocation->second.record.version < aRecord.version;
   if (isSuperseded)
     revocations_.erase(revocation);
 }
@@ -250,7 +252,7 @@
     return Holds();
   return std::any_of(
     revocations_.begin(), revocations_.end(), [this](const auto& aEntry) {
-      return appliedVersion_ < aEntry.second.recordVersion;
+      return appliedVersion_ < aEntry.second.record.version;
     });
 }
 
@@ -370,7 +372,9 @@
                                std::function<void()> aDone)
 {
   Revocation& revocation = revocations_[aRecord.group];
-  revocation = { aRecord.version, std::move(aDone), nullptr, aRecord };
+  revocation = {};
+  revocation.record = aRecord;
+  revocation.done = std::move(aDone);
   StartRevocation(revocation);
 }
 
@@ -380,18 +384,31 @@
   // The rows up to the record's version contain every member that registered
   // before it was written. A member that registers later reads the record
   // before it gets authority.
-  if (appliedVersion_ < aRevocation.recordVersion || aRevocation.broadcast)
+  if (appliedVersion_ < aRevocation.record.version || aRevocation.broadcast)
     return;
   announcements_.erase(aRevocation.record.group);
-  aRevocation.broadcast =
-    std::make_unique<RecordBroadcast>(scheduler_,
-                                      peers_,
-                                      MembersWithAuthority(),
-                                      aRevocation.record,
-                                      aRevocation.done);
+  aRevocation.broadcast = std::make_unique<RecordBroadcast>(
+    scheduler_,
+    peers_,
+    MembersWithAuthority(),
+    aRevocation.record,
+    [this, group = aRevocation.record.group] { OnConfirmed(group); });
   aRevocation.broadcast->Start();
 }
 
+void
+FailoverDuty::OnConfirmed(const std::string& aGroup)
+{
+  Revocation& revocation = revocations_.at(aGroup);
+  // The handler may begin the next stage, which ends this revocation.
+  const std::function<void()> done = revocation.done;
+  const Core::Instant now = scheduler_.Now();
+  if (now < unknownMembersUntil_)
+    revocation.timer = scheduler_.After(unknownMembersUntil_ - now, done);
+  else
+    done();
+}
+
 void
 FailoverDuty::OnRowsApplied(std::uint64_t aVersion)
 {
@@ -403,22 +420,38 @@
 void
 FailoverDuty::OnSnapshotBegins(std::uint64_t aVersion)
 {
+  const std::uint64_t era = Authority::StoreEraOf(aVersion);
+  if (!firstEra_)
+    firstEra_ = era;
   const bool isRestored =
-    appliedVersion_ != 0 &&
-    Authority::StoreEraOf(aVersion) > Authority::StoreEraOf(appliedVersion_);
+    appliedVersion_ != 0 && era > Authority::StoreEraOf(appliedVersion_);
   if (!isRestored)
     return;
   // Includes those that an earlier restoration has made the store forget.
   formerMembers_ = MembersWithAuthority();
-  // The last holder of the duty in the earlier era may have renewed their
-  // authority until its lease ended.
-  formerMembersUntil_ = scheduler_.Now() + settings_.lease.duration +
-                        settings_.supervisor.authorityLease.fenced +
-                        settings_.supervisor.clockMargin;
+  formerMembersUntil_ = EndOfForgottenAuthority();
   Log("store_restored",
       { { "version", aVersion }, { "members", formerMembers_.size() } });
 }
 
+void
+FailoverDuty::NoteEarlierRestoration(std::uint64_t aVersion)
+{
+  const bool isBeforeStart = Authority::StoreEraOf(aVersion) == firstEra_;
+  if (isBeforeStart && unknownMembersUntil_ == Core::Instant::min())
+    unknownMembersUntil_ = EndOfForgottenAuthority();
+}
+
+Core::Instant
+FailoverDuty::EndOfForgottenAuthority() const
+{
+  // The last holder of the duty in the earlier era may have renewed their
+  // authority until its lease ended.
+  return scheduler_.Now() + settings_.lease.duration +
+         settings_.supervisor.authorityLease.fenced +
+         settings_.supervisor.clockMargin;
+}
+
 std::vector<Member>
 FailoverDuty::MembersWithAuthority() const
 {
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -103,11 +103,12 @@
   /** Revokes all members' authority by a record that begins a change. */
   struct Revocation
   {
-    std::uint64_t recordVersion = 0;
+    Authority::GroupRecord record;
     std::function<void()> done;
-    /** Null until the rows up to recordVersion have been applied. */
+    /** Null until the rows up to the record's version have been applied. */
     std::unique_ptr<RecordBroadcast> broadcast;
-    Authority::GroupRecord record;
+    /** Calls `done` once no unknown member can hold authority. */
+    Core::TimerHandle timer;
   };
 
   /** What the platform's list says about a database's process. */
@@ -123,6 +124,16 @@
   void WriteLease();
   void ReadLease();
   void StartRevocation(Revocation& aRevocation);
+  /** All known members have confirmed that they gave up the primary. */
+  void OnConfirmed(const std::string& aGroup);
+  /**
+   * Reports a record that was written before the store was restored, at the
+   * version of its row.
+   */
+  void NoteEarlierRestoration(std::uint64_t aVersion);
+  /** Until when members that a restoration has just removed may use primaries.
+   */
+  Core::Instant EndOfForgottenAuthority() const;
   /** All listed members, and those that a restored store has forgotten. */
   std::vector<Member> MembersWithAuthority() const;
   Authority::GroupSupervisor& SupervisorOf(const std::string& aGroup);
@@ -189,6 +200,14 @@
    */
   std::vector<Member> formerMembers_;
   Core::Instant formerMembersUntil_ = Core::Instant::min();
+  /** The store's era when this process first read its rows. */
+  std::optional<std::uint64_t> firstEra_;
+  /**
+   * If the store was restored shortly before this process started: until when
+   * members that it has forgotten, and that this node has never known, may
+   * still hold authority.
+   */
+  Core::Instant unknownMembersUntil_ = Core::Instant::min();
   std::uint64_t newestRecord_ = 0;
   /** When this node stops, it releases the duty by then at the latest. */
   std::optional<Core::Instant> releaseDeadline_;
--- a/Tests/LibPooler/TestFailoverDuty.cpp
+++ b/Tests/LibPooler/TestFailoverDuty.cpp
@@ -176,6 +176,34 @@
     false },
 };
 
+/** What a process reads first, and when it begins a change of primary. */
+struct LaterStartCase
+{
+  const char* name;
+  /** The version of the row that the group's record replaced. */
+  std::uint64_t basis;
+  /** The time from the first snapshot to the change. */
+  Core::Duration after;
+  /** The time from the change until all members count as having confirmed. */
+  Core::Duration confirmedAfter;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const LaterStartCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const LaterStartCase kLaterStarts[] = {
+  { "no restoration before the start", MakeStoreVersion(2, 14), 0ms, 0ms },
+  { "a restoration before the start", MakeStoreVersion(1, 14), 0ms, 9300ms },
+  { "a restoration before the start, later",
+    MakeStoreVersion(1, 14),
+    6300ms,
+    3000ms },
+  { "a restoration long before", MakeStoreVersion(1, 14), 9400ms, 0ms },
+};
+
 } // namespace
 
 /**
@@ -248,3 +276,31 @@
   Port().RevokeEverywhere(record, [] {});
   BOOST_TEST(recipients.contains("other#1"));
 }
+
+/**
+ * A process that starts after the restoration doesn't know the members that the
+ * store has forgotten, which may use the old primary for as long as their
+ * authority lasts.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       AProcessThatStartsLaterWaitsForForgottenMembers,
+                       boost::unit_test::data::make(kLaterStarts))
+{
+  Authority::GroupRecord record;
+  record.group = "g";
+  record.version = MakeStoreVersion(2, 15);
+  record.basis = sample.basis;
+  duty.OnSnapshotBegins(MakeStoreVersion(2, 20));
+  duty.SetRecord(record);
+  duty.OnRowsApplied(MakeStoreVersion(2, 20));
+  AdvanceBy(sample.after);
+  record.basis = record.version;
+  record.version = MakeStoreVersion(2, 16);
+  std::optional<Core::Instant> confirmedAt;
+  const Core::Instant begin = time.Now();
+  Port().RevokeEverywhere(record, [&] { confirmedAt = time.Now(); });
+  AdvanceBy(10s);
+  BOOST_REQUIRE(confirmedAt.has_value());
+  BOOST_CHECK(*confirmedAt - begin >= sample.confirmedAfter);
+  BOOST_CHECK(*confirmedAt - begin <= sample.confirmedAfter + 100ms);
+}
