LibPooler: Give forgotten members a class of their own

No change of behaviour. All cases of TestFailoverDuty, TestNode, TestGroupSupervisor and TestNodeOnLoopback pass in the release build.

--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -38,6 +38,17 @@
 /** How often the holder sends heartbeats. */
 constexpr Core::Duration kHeartbeatInterval = std::chrono::milliseconds(300);
 
+/**
+ * The last holder of the duty before a restoration of the store may have
+ * renewed a member's authority until its own lease ended.
+ */
+Core::Duration
+LongestForgottenAuthority(const FailoverDuty::Settings& aSettings)
+{
+  return aSettings.lease.duration + aSettings.supervisor.authorityLease.fenced +
+         aSettings.supervisor.clockMargin;
+}
+
 } // namespace
 
 FailoverDuty::FailoverDuty(Core::Scheduler& aScheduler,
@@ -59,6 +70,7 @@
   , log_(std::move(aLog))
   , control_(aScheduler, aDialer)
   , lease_(std::string(kLeaseKey), aMembership.Self().Key(), aSettings.lease)
+  , forgotten_(LongestForgottenAuthority(aSettings))
 {
 }
 
@@ -116,8 +128,7 @@
 void
 FailoverDuty::SetRecord(const Authority::GroupRecord& aRecord)
 {
-  if (!aRecord.IsOfCurrentEra())
-    NoteEarlierRestoration(aRecord.version);
+  forgotten_.OnRecord(aRecord, scheduler_.Now());
   newestRecord_ = std::max(newestRecord_, aRecord.version);
   primaries_[aRecord.group] = aRecord.primary;
   SupervisorOf(aRecord.group).SetRecord(aRecord);
@@ -390,7 +401,7 @@
   aRevocation.broadcast = std::make_unique<RecordBroadcast>(
     scheduler_,
     peers_,
-    MembersWithAuthority(),
+    forgotten_.WithForgotten(membership_.Others(), scheduler_.Now()),
     aRevocation.record,
     [this, group = aRevocation.record.group] { OnConfirmed(group); });
   aRevocation.broadcast->Start();
@@ -403,8 +414,9 @@
   // The handler may begin the next stage, which ends this revocation.
   const std::function<void()> done = revocation.done;
   const Core::Instant now = scheduler_.Now();
-  if (now < unknownMembersUntil_)
-    revocation.timer = scheduler_.After(unknownMembersUntil_ - now, done);
+  const Core::Instant unknownUntil = forgotten_.UnknownUntil();
+  if (now < unknownUntil)
+    revocation.timer = scheduler_.After(unknownUntil - now, done);
   else
     done();
 }
@@ -420,51 +432,12 @@
 void
 FailoverDuty::OnSnapshotBegins(std::uint64_t aVersion)
 {
-  const std::uint64_t era = Authority::StoreEraOf(aVersion);
-  if (!firstEra_)
-    firstEra_ = era;
-  const bool isRestored =
-    appliedVersion_ != 0 && era > Authority::StoreEraOf(appliedVersion_);
-  if (!isRestored)
-    return;
-  // Includes those that an earlier restoration has made the store forget.
-  formerMembers_ = MembersWithAuthority();
-  formerMembersUntil_ = EndOfForgottenAuthority();
-  Log("store_restored",
-      { { "version", aVersion }, { "members", formerMembers_.size() } });
-}
-
-void
-FailoverDuty::NoteEarlierRestoration(std::uint64_t aVersion)
-{
-  const bool isBeforeStart = Authority::StoreEraOf(aVersion) == firstEra_;
-  if (isBeforeStart && unknownMembersUntil_ == Core::Instant::min())
-    unknownMembersUntil_ = EndOfForgottenAuthority();
-}
-
-Core::Instant
-FailoverDuty::EndOfForgottenAuthority() const
-{
-  // The last holder of the duty in the earlier era may have renewed their
-  // authority until its lease ended.
-  return scheduler_.Now() + settings_.lease.duration +
-         settings_.supervisor.authorityLease.fenced +
-         settings_.supervisor.clockMargin;
-}
-
-std::vector<Member>
-FailoverDuty::MembersWithAuthority() const
-{
-  std::vector<Member> members = membership_.Others();
-  if (scheduler_.Now() > formerMembersUntil_)
-    return members;
-  const std::string self = membership_.Self().Key();
-  for (const Member& former : formerMembers_) {
-    const std::string key = former.Key();
-    if (key != self && membership_.Roster().Find(key) == nullptr)
-      members.push_back(former);
-  }
-  return members;
+  const std::vector<Member> members = membership_.Others();
+  const bool isRestored = forgotten_.OnSnapshotBegins(
+    aVersion, appliedVersion_, members, scheduler_.Now());
+  if (isRestored)
+    Log("store_restored",
+        { { "version", aVersion }, { "members", members.size() } });
 }
 
 } // namespace Pooler
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -3,6 +3,7 @@
 #include <LibAuthority/DutyLease.h>
 #include <LibAuthority/GroupSupervisor.h>
 #include <LibPooler/ControlLinks.h>
+#include <LibPooler/ForgottenMembers.h>
 #include <LibPooler/Membership.h>
 #include <LibPooler/RecordBroadcast.h>
 
@@ -126,16 +127,6 @@
   void StartRevocation(Revocation& aRevocation);
   /** All known members have confirmed that they gave up the primary. */
   void OnConfirmed(const std::string& aGroup);
-  /**
-   * Reports a record that was written before the store was restored, at the
-   * version of its row.
-   */
-  void NoteEarlierRestoration(std::uint64_t aVersion);
-  /** Until when members that a restoration has just removed may use primaries.
-   */
-  Core::Instant EndOfForgottenAuthority() const;
-  /** All listed members, and those that a restored store has forgotten. */
-  std::vector<Member> MembersWithAuthority() const;
   Authority::GroupSupervisor& SupervisorOf(const std::string& aGroup);
   void UpdateSupervisors();
 
@@ -179,6 +170,7 @@
   std::set<std::string> overloaded_;
   std::map<std::string, std::size_t> ownerCounts_;
   Authority::DutyLease lease_;
+  ForgottenMembers forgotten_;
   DatabaseList databases_;
   /**
    * The listed databases, and the last listings of primaries that are no
@@ -194,20 +186,6 @@
    */
   std::map<std::string, std::unique_ptr<RecordBroadcast>> announcements_;
   std::uint64_t appliedVersion_ = 0;
-  /**
-   * The members before the store was last restored from an older copy, which
-   * may lack some of them, and until when those may still hold authority.
-   */
-  std::vector<Member> formerMembers_;
-  Core::Instant formerMembersUntil_ = Core::Instant::min();
-  /** The store's era when this process first read its rows. */
-  std::optional<std::uint64_t> firstEra_;
-  /**
-   * If the store was restored shortly before this process started: until when
-   * members that it has forgotten, and that this node has never known, may
-   * still hold authority.
-   */
-  Core::Instant unknownMembersUntil_ = Core::Instant::min();
   std::uint64_t newestRecord_ = 0;
   /** When this node stops, it releases the duty by then at the latest. */
   std::optional<Core::Instant> releaseDeadline_;
