LibAuthority: Give the monitoring of a primary a class of its own

No change of behaviour. All cases of TestGroupSupervisor, TestFailoverDuty, TestNode and TestNodeOnLoopback pass in the release build.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -11,12 +11,6 @@
 constexpr Core::Duration kCandidateProbeInterval =
   std::chrono::milliseconds(40);
 
-/**
- * A primary that refuses a connection and has not replied for this long counts
- * as ended.
- */
-constexpr Core::Duration kRefusalLimit = std::chrono::milliseconds(250);
-
 /**
  * How long a switchover waits for a replica to receive the old primary's
  * complete log. A replica that receives at all has it within milliseconds, but
@@ -25,12 +19,6 @@
 constexpr Core::Duration kSwitchoverChoiceTimeout =
   std::chrono::milliseconds(1500);
 
-/**
- * The minimum time between the last change of primary and a switchover. Each
- * change stops writes for most of a second, and the gain must exceed that.
- */
-constexpr Core::Duration kMinSwitchoverInterval = std::chrono::seconds(15);
-
 /**
  * The interval between the beginnings of surveys, while they find no primary or
  * their result can't be written.
@@ -50,6 +38,15 @@
   , port_(aPort)
   , group_(std::move(aGroup))
   , timing_(aTiming)
+  , monitor_(scheduler_,
+             port_,
+             group_,
+             timing_,
+             record_,
+             databases_,
+             [this](std::string_view aReason, bool aIsSwitchover) {
+               BeginChange(aReason, aIsSwitchover);
+             })
 {
 }
 
@@ -69,11 +66,8 @@
   const bool isNewVersion =
     record_ && aRecord && aRecord->version > record_->version;
   record_ = aRecord;
-  if (isOtherPrimary) {
-    primaryLastSeenAt_ = scheduler_.Now();
-    primaryPosition_.reset();
-    noSwitchoverBefore_ = scheduler_.Now() + kMinSwitchoverInterval;
-  }
+  if (isOtherPrimary)
+    monitor_.OnOtherPrimary();
   const bool isWriting = stage_ == Stage::WritingChange ||
                          stage_ == Stage::WritingCandidate ||
                          stage_ == Stage::WritingEnd;
@@ -85,8 +79,7 @@
 void
 GroupSupervisor::ReportPrimaryAlive(const SampleHistory::Sample& aSample)
 {
-  primaryLastSeenAt_ = std::max(primaryLastSeenAt_, aSample.sentAt);
-  primaryPosition_ = aSample.position;
+  monitor_.ReportAlive(aSample);
 }
 
 const SupervisedDatabase*
@@ -107,6 +100,7 @@
   ++epoch_;
   isProbing_ = false;
   nextProbe_ = {};
+  monitor_.Interrupt();
 }
 
 void
@@ -139,7 +133,7 @@
     return;
   }
   if (!heldDuty_)
-    primaryLastSeenAt_ = now;
+    monitor_.RestartSilence();
   heldDuty_ = true;
   switch (stage_) {
     case Stage::Monitoring:
@@ -148,7 +142,7 @@
       else if (!record_ || !record_->IsOfCurrentEra())
         BeginSurvey();
       else
-        MonitorPrimary();
+        monitor_.Check();
       return;
     case Stage::Surveying:
       ProbeAllDatabases();
@@ -231,100 +225,6 @@
   WriteEnd(record);
 }
 
-void
-GroupSupervisor::MonitorPrimary()
-{
-  const Core::Instant now = scheduler_.Now();
-  const SupervisedDatabase* primary = FindDatabase(record_->primary);
-  if (port_.HasEnded(record_->primary) && HasEligibleCandidate()) {
-    BeginChange("ended");
-    return;
-  }
-  if (primary != nullptr && primary->isLeaving && HasEligibleCandidate()) {
-    BeginChange("leaving");
-    return;
-  }
-  if (now - primaryLastSeenAt_ > timing_.silenceLimit &&
-      HasEligibleCandidate() &&
-      port_.IsUnreachableByPeers(group_, now - primaryLastSeenAt_)) {
-    BeginChange("silent");
-    return;
-  }
-  ConsiderSwitchover();
-  // Replies to statements show that the primary is alive, too.
-  const bool wasSeenRecently = now - primaryLastSeenAt_ < timing_.probeInterval;
-  if (isProbing_ || wasSeenRecently || now < nextProbe_)
-    return;
-  isProbing_ = true;
-  nextProbe_ = now + timing_.probeInterval;
-  port_.Probe(record_->primary,
-              timing_.probeTimeout,
-              Guard([this](const ProbeOutcome& aOutcome) {
-                isProbing_ = false;
-                OnPrimaryProbe(aOutcome);
-              }));
-}
-
-void
-GroupSupervisor::ConsiderSwitchover()
-{
-  const Core::Instant now = scheduler_.Now();
-  if (now < noSwitchoverBefore_ || !primaryPosition_ ||
-      !port_.IsOverloaded(group_))
-    return;
-  noSwitchoverBefore_ = now + timing_.probeTimeout;
-  for (const SupervisedDatabase& database : databases_) {
-    if (database.isLeaving || database.id == record_->primary)
-      continue;
-    // A switchover begins only if a replica has received the log up to the
-    // primary's last known position. Promoting one that does not receive the
-    // log would lose commits.
-    port_.Probe(
-      database.id,
-      timing_.probeTimeout,
-      Guard([this, needed = *primaryPosition_](const ProbeOutcome& aOutcome) {
-        if (!aOutcome.status || aOutcome.status->received < needed)
-          return;
-        noSwitchoverBefore_ = scheduler_.Now() + kMinSwitchoverInterval;
-        BeginChange("overloaded", true);
-      }));
-  }
-}
-
-bool
-GroupSupervisor::HasEligibleCandidate() const
-{
-  return std::any_of(databases_.begin(),
-                     databases_.end(),
-                     [this](const SupervisedDatabase& aEntry) {
-                       return aEntry.id != record_->primary &&
-                              !aEntry.isLeaving;
-                     });
-}
-
-void
-GroupSupervisor::OnPrimaryProbe(const ProbeOutcome& aOutcome)
-{
-  const Core::Instant now = scheduler_.Now();
-  if (aOutcome.isBusy) {
-    primaryLastSeenAt_ = now;
-    return;
-  }
-  if (aOutcome.status) {
-    const Sql::DatabaseStatus& status = *aOutcome.status;
-    if (status.isPrimary && status.term == record_->term) {
-      primaryLastSeenAt_ = now;
-      return;
-    }
-    if (HasEligibleCandidate() || !status.isPrimary)
-      BeginChange("no_longer_primary");
-    return;
-  }
-  if (aOutcome.isRefused && now - primaryLastSeenAt_ > kRefusalLimit &&
-      HasEligibleCandidate())
-    BeginChange("refused");
-}
-
 void
 GroupSupervisor::ConfirmRecord()
 {
@@ -365,14 +265,12 @@
 void
 GroupSupervisor::BeginChange(std::string_view aReason, bool aIsSwitchover)
 {
-  port_.Log(
-    "primary_change_begins",
-    { { "group", group_ },
-      { "primary", record_->primary },
-      { "term", record_->term },
-      { "reason", aReason },
-      { "silent_ms",
-        Core::ToMilliseconds(scheduler_.Now() - primaryLastSeenAt_) } });
+  port_.Log("primary_change_begins",
+            { { "group", group_ },
+              { "primary", record_->primary },
+              { "term", record_->term },
+              { "reason", aReason },
+              { "silent_ms", Core::ToMilliseconds(monitor_.Silence()) } });
   GroupRecord record = *record_;
   record.change = PrimaryChange{ .isSwitchover = aIsSwitchover };
   EnterStage(Stage::WritingChange);
@@ -593,7 +491,7 @@
 {
   EnterStage(Stage::WritingEnd);
   WriteAndThen(aRecord, [this] {
-    primaryLastSeenAt_ = scheduler_.Now();
+    monitor_.RestartSilence();
     Abandon();
   });
 }
--- /dev/null
+++ b/Libraries/LibAuthority/PrimaryMonitor.cpp
@@ -0,0 +1,191 @@
+#include <LibAuthority/PrimaryMonitor.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Authority {
+
+namespace {
+
+/**
+ * A primary that refuses a connection and has not replied for this long counts
+ * as ended.
+ */
+constexpr Core::Duration kRefusalLimit = std::chrono::milliseconds(250);
+
+/**
+ * The minimum time between the last change of primary and a switchover. Each
+ * change stops writes for most of a second, and the gain must exceed that.
+ */
+constexpr Core::Duration kMinSwitchoverInterval = std::chrono::seconds(15);
+
+} // namespace
+
+PrimaryMonitor::PrimaryMonitor(
+  Core::Scheduler& aScheduler,
+  SupervisorPort& aPort,
+  std::string aGroup,
+  const SupervisorTiming& aTiming,
+  const std::optional<GroupRecord>& aRecord,
+  const std::vector<SupervisedDatabase>& aDatabases,
+  ChangeHandler aOnChange)
+  : scheduler_(aScheduler)
+  , port_(aPort)
+  , group_(std::move(aGroup))
+  , timing_(aTiming)
+  , record_(aRecord)
+  , databases_(aDatabases)
+  , onChange_(std::move(aOnChange))
+{
+}
+
+void
+PrimaryMonitor::Interrupt()
+{
+  ++epoch_;
+  isProbing_ = false;
+  nextProbe_ = {};
+}
+
+void
+PrimaryMonitor::ReportAlive(const SampleHistory::Sample& aSample)
+{
+  lastSeenAt_ = std::max(lastSeenAt_, aSample.sentAt);
+  position_ = aSample.position;
+}
+
+void
+PrimaryMonitor::RestartSilence()
+{
+  lastSeenAt_ = scheduler_.Now();
+}
+
+void
+PrimaryMonitor::OnOtherPrimary()
+{
+  RestartSilence();
+  position_.reset();
+  noSwitchoverBefore_ = scheduler_.Now() + kMinSwitchoverInterval;
+}
+
+Core::Duration
+PrimaryMonitor::Silence() const
+{
+  return scheduler_.Now() - lastSeenAt_;
+}
+
+std::function<void(ProbeOutcome)>
+PrimaryMonitor::Guard(std::function<void(const ProbeOutcome&)> aHandler)
+{
+  return [this, epoch = epoch_, handler = std::move(aHandler)](
+           const ProbeOutcome& aOutcome) {
+    if (epoch == epoch_)
+      handler(aOutcome);
+  };
+}
+
+bool
+PrimaryMonitor::HasEligibleCandidate() const
+{
+  return std::any_of(databases_.begin(),
+                     databases_.end(),
+                     [this](const SupervisedDatabase& aEntry) {
+                       return aEntry.id != record_->primary &&
+                              !aEntry.isLeaving;
+                     });
+}
+
+bool
+PrimaryMonitor::IsPrimaryLeaving() const
+{
+  return std::any_of(databases_.begin(),
+                     databases_.end(),
+                     [this](const SupervisedDatabase& aEntry) {
+                       return aEntry.id == record_->primary && aEntry.isLeaving;
+                     });
+}
+
+void
+PrimaryMonitor::Check()
+{
+  const bool mayReplace = HasEligibleCandidate();
+  if (mayReplace && port_.HasEnded(record_->primary)) {
+    onChange_("ended", false);
+    return;
+  }
+  if (mayReplace && IsPrimaryLeaving()) {
+    onChange_("leaving", false);
+    return;
+  }
+  if (mayReplace && Silence() > timing_.silenceLimit &&
+      port_.IsUnreachableByPeers(group_, Silence())) {
+    onChange_("silent", false);
+    return;
+  }
+  ConsiderSwitchover();
+  ProbePrimary();
+}
+
+void
+PrimaryMonitor::ProbePrimary()
+{
+  const Core::Instant now = scheduler_.Now();
+  // Replies to statements show that the primary is alive, too.
+  const bool wasSeenRecently = Silence() < timing_.probeInterval;
+  if (isProbing_ || wasSeenRecently || now < nextProbe_)
+    return;
+  isProbing_ = true;
+  nextProbe_ = now + timing_.probeInterval;
+  port_.Probe(record_->primary,
+              timing_.probeTimeout,
+              Guard([this](const ProbeOutcome& aOutcome) {
+                isProbing_ = false;
+                OnPrimaryProbe(aOutcome);
+              }));
+}
+
+void
+PrimaryMonitor::OnPrimaryProbe(const ProbeOutcome& aOutcome)
+{
+  if (aOutcome.isBusy) {
+    RestartSilence();
+    return;
+  }
+  if (aOutcome.status) {
+    const Sql::DatabaseStatus& status = *aOutcome.status;
+    if (status.isPrimary && status.term == record_->term)
+      RestartSilence();
+    else if (HasEligibleCandidate() || !status.isPrimary)
+      onChange_("no_longer_primary", false);
+    return;
+  }
+  if (aOutcome.isRefused && Silence() > kRefusalLimit && HasEligibleCandidate())
+    onChange_("refused", false);
+}
+
+void
+PrimaryMonitor::ConsiderSwitchover()
+{
+  const Core::Instant now = scheduler_.Now();
+  if (now < noSwitchoverBefore_ || !position_ || !port_.IsOverloaded(group_))
+    return;
+  noSwitchoverBefore_ = now + timing_.probeTimeout;
+  for (const SupervisedDatabase& database : databases_) {
+    if (database.isLeaving || database.id == record_->primary)
+      continue;
+    // A switchover begins only if a replica has received the log up to the
+    // primary's last known position. Promoting one that does not receive the
+    // log would lose commits.
+    port_.Probe(
+      database.id,
+      timing_.probeTimeout,
+      Guard([this, needed = *position_](const ProbeOutcome& aOutcome) {
+        if (!aOutcome.status || aOutcome.status->received < needed)
+          return;
+        noSwitchoverBefore_ = scheduler_.Now() + kMinSwitchoverInterval;
+        onChange_("overloaded", true);
+      }));
+  }
+}
+
+} // namespace Authority
--- /dev/null
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <LibAuthority/CandidateChoice.h>
+#include <LibAuthority/SampleHistory.h>
+#include <LibAuthority/SupervisorPort.h>
+#include <LibCore/Scheduler.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Authority {
+
+/**
+ * Detects that a group's recorded primary has to be replaced: it has ended, is
+ * about to leave, doesn't reply, is no longer primary, or is overloaded while a
+ * replica has its complete log.
+ */
+class PrimaryMonitor
+{
+public:
+  /** Receives the reason for a change, and whether it is a switchover. */
+  using ChangeHandler =
+    std::function<void(std::string_view aReason, bool aIsSwitchover)>;
+
+  /**
+   * Refers to the group's record and databases, which must outlive this object.
+   * aOnChange may be called from Check or from a reply of a database, until
+   * Interrupt is called.
+   */
+  PrimaryMonitor(Core::Scheduler& aScheduler,
+                 SupervisorPort& aPort,
+                 std::string aGroup,
+                 const SupervisorTiming& aTiming,
+                 const std::optional<GroupRecord>& aRecord,
+                 const std::vector<SupervisedDatabase>& aDatabases,
+                 ChangeHandler aOnChange);
+
+  /** Checks the primary; requires a record. To be called regularly. */
+  void Check();
+  /** Ignores the results of pending health checks. */
+  void Interrupt();
+
+  /** Processes a reply of the primary with its log position. */
+  void ReportAlive(const SampleHistory::Sample& aSample);
+  /** Counts the primary's silence from now on. */
+  void RestartSilence();
+  /** Reports that another database has become primary. */
+  void OnOtherPrimary();
+  /** How long the primary has not replied. */
+  Core::Duration Silence() const;
+
+private:
+  void ProbePrimary();
+  void OnPrimaryProbe(const ProbeOutcome& aOutcome);
+  void ConsiderSwitchover();
+  bool IsPrimaryLeaving() const;
+  bool HasEligibleCandidate() const;
+  /** Wraps a handler to ignore results of checks before an interruption. */
+  std::function<void(ProbeOutcome)> Guard(
+    std::function<void(const ProbeOutcome&)> aHandler);
+
+  Core::Scheduler& scheduler_;
+  SupervisorPort& port_;
+  std::string group_;
+  const SupervisorTiming& timing_;
+  const std::optional<GroupRecord>& record_;
+  const std::vector<SupervisedDatabase>& databases_;
+  ChangeHandler onChange_;
+
+  /** Incremented by each interruption. */
+  std::uint64_t epoch_ = 0;
+  bool isProbing_ = false;
+  Core::Instant nextProbe_{};
+  Core::Instant lastSeenAt_{};
+  /** The end of the primary's log in its latest reply. */
+  std::optional<Session::LogPosition> position_;
+  Core::Instant noSwitchoverBefore_ = Core::Instant::min();
+};
+
+} // namespace Authority
