TestGroupSupervisor: Put the cases of a restored record into a table

Three cases that differed in their set-up only, and a fourth, are rows of one table now; each row checks what any of them did, and for 5 s more that nothing else is written.

--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -67,6 +67,13 @@
   }
   void AdvanceBy(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
 
+  /** The store comes back with the stored record, in its second era. */
+  void RestoreStore()
+  {
+    stored->version = version = Authority::MakeStoreVersion(2, 3);
+    supervisor.SetRecord(stored);
+  }
+
   /** Runs until the supervisor has recorded the first primary. */
   void Begin()
   {
@@ -224,6 +231,37 @@
   { "the last commits are not received", 100, 5, 0, "a" },
 };
 
+/** The group after the store was restored; its record names "a" in term 1. */
+struct RestoredRecordCase
+{
+  const char* name;
+  /** "b" was promoted to lead term 2 since the copy was made. */
+  bool hasSuccessor;
+  /** "a" has noticed that. */
+  bool hasSteppedDown;
+  /** "c" does not reply. */
+  bool isReplicaSilent;
+  /** The time by which the record must be of the current era. */
+  Core::Duration limit;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const RestoredRecordCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const RestoredRecordCase kRestoredRecords[] = {
+  { "the record is right", false, false, false, 600ms },
+  { "the record is right, a replica is silent", false, false, true, 1000ms },
+  { "replaced, and the former primary knows", true, true, false, 2000ms },
+  { "replaced, and the former primary does not know",
+    true,
+    false,
+    false,
+    2000ms },
+};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE_F(Fixture,
@@ -270,6 +308,38 @@
   BOOST_TEST(stored->primary == promoted.front());
 }
 
+/**
+ * After the store was restored from a copy, nodes may use a primary only once
+ * the holder of the duty has written its record again. It must not do so if
+ * another database was promoted since the copy was made: commits that the
+ * successor acknowledged would be missing.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       ARestoredRecordIsConfirmedUnlessASuccessorLeads,
+                       kRestoredRecords)
+{
+  Begin();
+  members["a"].status.isPrimary = !sample.hasSteppedDown;
+  members["c"].isReachable = !sample.isReplicaSilent;
+  if (sample.hasSuccessor) {
+    members["b"].status.isPrimary = true;
+    members["b"].status.term = 2;
+  }
+  RestoreStore();
+  BOOST_TEST(!stored->IsOfCurrentEra());
+  AdvanceBy(sample.limit);
+  BOOST_TEST(stored->IsOfCurrentEra());
+  BOOST_TEST(!stored->change.has_value());
+  BOOST_TEST(stored->primary == (sample.hasSuccessor ? "b" : "a"));
+  BOOST_TEST(stored->term == (sample.hasSuccessor ? 2U : 1U));
+  BOOST_TEST(changeBeganAt.has_value() == sample.hasSuccessor);
+  BOOST_TEST(promoted.empty());
+  const std::uint64_t confirmedVersion = stored->version;
+  members["c"].isReachable = true;
+  AdvanceBy(5s);
+  BOOST_TEST(stored->version == confirmedVersion);
+}
+
 BOOST_FIXTURE_TEST_SUITE(Supervisor, Fixture)
 
 /**
@@ -468,44 +538,6 @@
   BOOST_TEST(stored->term == 2U);
 }
 
-/**
- * After the store was restored from a copy, nodes may use a primary only once
- * the holder of the duty has found it leading and has written its record again.
- */
-BOOST_AUTO_TEST_CASE(ARestoredRecordIsConfirmedWithoutAChange)
-{
-  Begin();
-  stored->version = version = Authority::MakeStoreVersion(2, 3);
-  supervisor.SetRecord(stored);
-  BOOST_TEST(!stored->IsOfCurrentEra());
-  AdvanceBy(600ms);
-  BOOST_TEST(stored->IsOfCurrentEra());
-  BOOST_TEST(stored->primary == "a");
-  BOOST_TEST(!changeBeganAt.has_value());
-  const std::uint64_t confirmedVersion = stored->version;
-  AdvanceBy(5s);
-  BOOST_TEST(stored->version == confirmedVersion);
-}
-
-/**
- * The restored record names a primary that another one has replaced, but that
- * has not noticed it. Confirmed, it would take the place of its successor, and
- * commits that the successor acknowledged would be missing.
- */
-BOOST_AUTO_TEST_CASE(ARestoredRecordIsNotConfirmedWhileASuccessorLeads)
-{
-  Begin();
-  members["b"].status.isPrimary = true;
-  members["b"].status.term = 2;
-  stored->version = version = Authority::MakeStoreVersion(2, 3);
-  supervisor.SetRecord(stored);
-  AdvanceBy(2s);
-  BOOST_TEST(stored->primary == "b");
-  BOOST_TEST(stored->term == 2U);
-  BOOST_TEST(stored->IsOfCurrentEra());
-  BOOST_TEST(promoted.empty());
-}
-
 /**
  * The restored record has a change in progress that has been completed, and
  * whose new primary has been replaced since. Promoting its candidate again
@@ -521,8 +553,7 @@
   for (auto& [id, member] : members)
     member.status.term = 3;
   stored->change = Authority::PrimaryChange{ "c" };
-  stored->version = version = Authority::MakeStoreVersion(2, 3);
-  supervisor.SetRecord(stored);
+  RestoreStore();
   holdsDuty = true;
   AdvanceBy(3s);
   BOOST_TEST(stored->primary == "b");
@@ -531,33 +562,4 @@
   BOOST_TEST(promoted.empty());
 }
 
-/** Without a reply of one database, a restored record is confirmed in time. */
-BOOST_AUTO_TEST_CASE(ARestoredRecordIsConfirmedDespiteASilentReplica)
-{
-  Begin();
-  members["c"].isReachable = false;
-  stored->version = version = Authority::MakeStoreVersion(2, 3);
-  supervisor.SetRecord(stored);
-  AdvanceBy(1s);
-  BOOST_TEST(stored->IsOfCurrentEra());
-  BOOST_TEST(stored->primary == "a");
-  BOOST_TEST(promoted.empty());
-}
-
-/** The restored record names a primary that another one has replaced. */
-BOOST_AUTO_TEST_CASE(ARestoredRecordOfAFormerPrimaryIsReplaced)
-{
-  Begin();
-  members["a"].status.isPrimary = false;
-  members["b"].status.isPrimary = true;
-  members["b"].status.term = 2;
-  stored->version = version = Authority::MakeStoreVersion(2, 3);
-  supervisor.SetRecord(stored);
-  AdvanceBy(2s);
-  BOOST_TEST(stored->primary == "b");
-  BOOST_TEST(stored->term == 2U);
-  BOOST_TEST(stored->IsOfCurrentEra());
-  BOOST_TEST(promoted.empty());
-}
-
 BOOST_AUTO_TEST_SUITE_END()
