Coordination: Don't let its cost grow with the square of the fleet

Each row of a member or database that changed was a request of every follower.

RecordOutbox: one message in flight to each member, with all records that wait for it; announcements end with the duty or the lease. DutyCandidacy: large VMs try first, then cohorts that double. Registrations back off. Heartbeats are spread over their interval, and reports are counted once for all groups.

--- a/Libraries/LibAuthority/RowFollower.cpp
+++ b/Libraries/LibAuthority/RowFollower.cpp
@@ -36,7 +36,7 @@
                          std::string aTable,
                          FollowTiming aTiming,
                          Core::Random aRandom,
-                         std::function<bool()> aReceivesFromPeers,
+                         Conditions aConditions,
                          Handler aHandler,
                          EventSink aOnEvent)
   : scheduler_(aScheduler)
@@ -44,7 +44,7 @@
   , table_(std::move(aTable))
   , timing_(aTiming)
   , random_(aRandom)
-  , receivesFromPeers_(std::move(aReceivesFromPeers))
+  , conditions_(std::move(aConditions))
   , handler_(std::move(aHandler))
   , onEvent_(std::move(aOnEvent))
 {
@@ -112,7 +112,35 @@
   // After a failure, request an immediate reply to detect the recovery soon.
   if (failures_ > 0)
     return Core::Duration::zero();
-  return receivesFromPeers_() ? timing_.longWait : timing_.shortWait;
+  return conditions_.receivesFromPeers() ? timing_.longWait : timing_.shortWait;
+}
+
+void
+RowFollower::PauseAndFollow()
+{
+  isPausing_ = true;
+  requestTimer_ =
+    scheduler_.After(PauseAfterChanges(), [this] { Follow(NextWait()); });
+}
+
+Core::Duration
+RowFollower::PauseAfterChanges()
+{
+  if (conditions_.mustBePrompt())
+    return timing_.pause;
+  const Core::Instant now = scheduler_.Now();
+  const auto gained = std::max<Core::Duration::rep>(
+    (now - gainedAt_) / timing_.busyInterval, 0);
+  gainedAt_ += gained * timing_.busyInterval;
+  promptPolls_ = static_cast<int>(
+    std::min<Core::Duration::rep>(promptPolls_ + gained, kMaxPromptPolls));
+  if (promptPolls_ > 0) {
+    --promptPolls_;
+    return timing_.pause;
+  }
+  // The poll after this pause takes the one that is gained by then.
+  gainedAt_ += timing_.busyInterval;
+  return std::max<Core::Duration>(timing_.pause, gainedAt_ - now);
 }
 
 void
@@ -124,6 +152,8 @@
                 pending_->ReceivedBytes());
   // Cancelled first, so that its response takes no bandwidth from the next one.
   pending_.reset();
+  requestTimer_.reset();
+  isPausing_ = false;
   isFollowing_ = true;
   requestedAt_ = scheduler_.Now();
   wait_ = aWait;
@@ -151,8 +181,7 @@
       if (aReply.rows.empty())
         Follow(NextWait());
       else
-        requestTimer_ =
-          scheduler_.After(timing_.pause, [this] { Follow(NextWait()); });
+        PauseAndFollow();
       return;
     case StoreStatus::HistoryGone:
       ReportEvent(
@@ -181,7 +210,8 @@
 void
 RowFollower::CheckRequestTimeout()
 {
-  if (IsPollIdle() && wait_ > timing_.shortWait && !receivesFromPeers_())
+  if (IsPollIdle() && wait_ > timing_.shortWait &&
+      !conditions_.receivesFromPeers())
     Follow(timing_.shortWait);
 }
 
@@ -196,7 +226,7 @@
 void
 RowFollower::Refresh()
 {
-  if (IsPollIdle())
+  if (IsPollIdle() || isPausing_)
     Follow(Core::Duration::zero());
 }
 
--- a/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
+++ b/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
@@ -64,6 +64,12 @@
   Core::Duration longWait;
   /** The delay before the next poll after a change, to batch changes. */
   Core::Duration pause;
+  /**
+   * The interval between polls while changes keep coming. When a whole fleet
+   * restarts, each node is told of the rows of all others, so that the requests
+   * would grow with the square of the fleet.
+   */
+  Core::Duration busyInterval;
 };
 
 /**
@@ -78,16 +84,21 @@
   using Handler = std::function<void(const FollowedRows&)>;
   using EventSink = std::function<void(const FollowEvent&)>;
 
-  /**
-   * aReceivesFromPeers returns true while peers would report a change that this
-   * node misses.
-   */
+  /** What the follower asks its owner. */
+  struct Conditions
+  {
+    /** True while peers would report a change that this node misses. */
+    std::function<bool()> receivesFromPeers;
+    /** True while changes must not wait for the busy interval. */
+    std::function<bool()> mustBePrompt;
+  };
+
   RowFollower(Core::Scheduler& aScheduler,
               ChangeFeed& aFeed,
               std::string aTable,
               FollowTiming aTiming,
               Core::Random aRandom,
-              std::function<bool()> aReceivesFromPeers,
+              Conditions aConditions,
               Handler aHandler,
               EventSink aOnEvent);
   RowFollower(const RowFollower&) = delete;
@@ -106,9 +117,12 @@
    */
   void OnSeenByPeer(std::uint64_t aVersion);
 
-  /** Requests changes immediately, replacing a pending long poll. */
+  /** Requests changes immediately, replacing a pending long poll or a pause. */
   void Refresh();
 
+  /** The polls that may follow changes promptly, after a quiet time. */
+  static constexpr int kMaxPromptPolls = 4;
+
 private:
   /** Reads the next page, from the key aFrom; aRows holds earlier pages. */
   void ReadSnapshot(FollowedRows aRows, const std::string& aFrom);
@@ -116,6 +130,9 @@
   void Follow(Core::Duration aWait);
   void OnChanges(const StoreRows& aReply, Core::Instant aRequestedAt);
   Core::Duration NextWait() const;
+  /** The delay before the next poll after changes have been received. */
+  Core::Duration PauseAfterChanges();
+  void PauseAndFollow();
   void Deliver(const FollowedRows& aRows);
   /** Replaces a pending long poll by a short one if peers no longer report. */
   void CheckRequestTimeout();
@@ -138,16 +155,22 @@
   std::string table_;
   FollowTiming timing_;
   Core::Random random_;
-  std::function<bool()> receivesFromPeers_;
+  Conditions conditions_;
   Handler handler_;
   EventSink onEvent_;
   std::uint64_t version_ = 0;
   std::uint64_t newestRowVersion_ = 0;
+  /** Polls that may follow after the short pause; one is gained each busy
+   * interval, counted from gainedAt_. */
+  int promptPolls_ = kMaxPromptPolls;
+  Core::Instant gainedAt_{};
   int failures_ = 0;
   /** True if no changes have been received since the history was gone. */
   bool wasHistoryGone_ = false;
   /** True while a request for changes is pending. */
   bool isFollowing_ = false;
+  /** True during the pause after changes have been received. */
+  bool isPausing_ = false;
   /** The latest request. */
   std::unique_ptr<PendingRequest> pending_;
   /** When the latest request was sent. */
--- a/Libraries/LibPeers/PeerClient.cpp
+++ b/Libraries/LibPeers/PeerClient.cpp
@@ -1,6 +1,7 @@
 #include <LibPeers/PeerClient.h>
 
 #include "HeartbeatJson.h"
+#include "RecordJson.h"
 
 #include <LibCore/Log.h>
 #include <LibWire/FieldReader.h>
@@ -44,17 +45,10 @@
     return std::nullopt;
   }
   Wire::FieldReader reader(*fields, aFindings, "/records");
-  const std::string group = reader.String("group");
-  const std::string text = reader.String("record");
-  const auto version = reader.Integer("version", 0, kMaxInt64);
   const auto age = reader.OptionalInteger("age_us", 0, kMaxInt64);
-  Core::LastReason reason;
-  auto record = Authority::GroupRecord::Parse(group, text, reason);
-  if (!record) {
-    aFindings.Add("/records", reason.Text());
+  auto record = ReadRecord(reader);
+  if (!record)
     return std::nullopt;
-  }
-  record->version = static_cast<std::uint64_t>(version);
   Pooler::RelayedRecord relayed{ std::move(*record), std::nullopt };
   if (age)
     relayed.age = Core::Duration(*age);
@@ -132,15 +126,16 @@
 }
 
 void
-PeerClient::SendRecord(const Pooler::Member& aMember,
-                       const Authority::GroupRecord& aRecord,
-                       std::function<void(Pooler::PeerDelivery)> aDone)
+PeerClient::SendRecords(const Pooler::Member& aMember,
+                        const std::vector<Authority::GroupRecord>& aRecords,
+                        std::function<void(Pooler::PeerDelivery)> aDone)
 {
+  boost::json::array list;
+  for (const Authority::GroupRecord& record : aRecords)
+    list.push_back(ToJson(record));
   Call(aMember,
        "/v1/record",
-       { { "group", aRecord.group },
-         { "version", aRecord.version },
-         { "record", aRecord.ToText() } },
+       { { "records", std::move(list) } },
        [done = std::move(aDone)](const PeerResponse& aResponse) {
          done(aResponse.delivery);
        });
--- a/Libraries/LibPeers/PeerServer.cpp
+++ b/Libraries/LibPeers/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include <LibPeers/PeerServer.h>
 
 #include "HeartbeatJson.h"
+#include "RecordJson.h"
 
 #include <LibCore/Log.h>
 
@@ -29,6 +30,35 @@
   return heartbeat;
 }
 
+/**
+ * Reads the records of a message. Nodes of earlier releases send one record,
+ * with its fields at the top level.
+ */
+std::vector<Authority::GroupRecord>
+ReadRecords(Wire::FieldReader& aReader)
+{
+  std::vector<Authority::GroupRecord> records;
+  const auto add = [&records](Wire::FieldReader& aItem) {
+    if (auto record = ReadRecord(aItem))
+      records.push_back(std::move(*record));
+  };
+  const boost::json::array* list = aReader.OptionalArray("records");
+  if (list == nullptr) {
+    add(aReader);
+    return records;
+  }
+  for (const boost::json::value& value : *list) {
+    const boost::json::object* fields = value.if_object();
+    if (fields == nullptr) {
+      aReader.FindingsOf().Add("/records", "must hold objects");
+      continue;
+    }
+    Wire::FieldReader item(*fields, aReader.FindingsOf(), "/records");
+    add(item);
+  }
+  return records;
+}
+
 } // namespace
 
 PeerServer::PeerServer(Core::Loop& aLoop, Pooler::PeerHandler& aHandler)
@@ -85,30 +115,19 @@
         });
   Route("/v1/record",
         [this](Wire::FieldReader& aReader, boost::json::object& aResponse) {
-          const std::string group = aReader.String("group");
-          const std::string text = aReader.String("record");
-          const auto version = aReader.Integer("version", 0, kMaxInt64);
-          Core::LastReason reason;
-          auto record = Authority::GroupRecord::Parse(group, text, reason);
-          if (!record) {
-            // If the response lacks this member's key, the sender doesn't count
-            // the record as delivered.
+          for (Authority::GroupRecord& record : ReadRecords(aReader))
+            handler_.OnRecord(record);
+          // Without this member's key in the response, the sender doesn't count
+          // the records as delivered.
+          if (!aReader.FindingsOf().IsEmpty())
             aResponse.erase("member");
-            Core::LogChange("peer_record_unreadable",
-                            { { "reason", reason.Text() } });
-            return;
-          }
-          record->version = static_cast<std::uint64_t>(version);
-          handler_.OnRecord(*record);
         });
   Route("/v1/records",
         [this](Wire::FieldReader& aReader, boost::json::object& aResponse) {
           boost::json::array list;
           for (const Pooler::RelayedRecord& relayed :
                handler_.RecordsFor(aReader.String("asker"))) {
-            boost::json::object item{ { "group", relayed.record.group },
-                                      { "version", relayed.record.version },
-                                      { "record", relayed.record.ToText() } };
+            boost::json::object item = ToJson(relayed.record);
             if (relayed.age)
               item["age_us"] = relayed.age->count();
             list.push_back(std::move(item));
--- a/Libraries/LibPeers/include/LibPeers/PeerClient.h
+++ b/Libraries/LibPeers/include/LibPeers/PeerClient.h
@@ -15,9 +15,9 @@
     const Pooler::Member& aMember,
     const Pooler::Heartbeat& aHeartbeat,
     std::function<void(Pooler::HeartbeatResponse)> aDone) override;
-  void SendRecord(const Pooler::Member& aMember,
-                  const Authority::GroupRecord& aRecord,
-                  std::function<void(Pooler::PeerDelivery)> aDone) override;
+  void SendRecords(const Pooler::Member& aMember,
+                   const std::vector<Authority::GroupRecord>& aRecords,
+                   std::function<void(Pooler::PeerDelivery)> aDone) override;
   void FetchRecords(
     const Pooler::Member& aMember,
     const std::string& aSelf,
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -10,8 +10,11 @@
 
 constexpr std::string_view kLeaseKey = "lease/failover";
 
-/** How often a node reads the lease while it receives no heartbeats. */
-constexpr Core::Duration kReadInterval = std::chrono::milliseconds(400);
+/**
+ * How often a candidate reads the lease again. The write that acquires it is
+ * conditional, so that no read is needed just before.
+ */
+constexpr Core::Duration kReadInterval = std::chrono::milliseconds(800);
 
 /**
  * If more than one in this many of the other members has not responded
@@ -35,9 +38,6 @@
 /** How long a stop waits for a change of primary in progress. */
 constexpr Core::Duration kMaxReleaseDelay = std::chrono::milliseconds(2500);
 
-/** How often the holder sends heartbeats. */
-constexpr Core::Duration kHeartbeatInterval = std::chrono::milliseconds(300);
-
 /**
  * The last holder of the duty before a restoration of the store may have
  * renewed a member's authority until its own lease ended.
@@ -70,7 +70,9 @@
   , log_(std::move(aLog))
   , control_(aScheduler, aDialer)
   , lease_(std::string(kLeaseKey), aMembership.Self().Key(), aSettings.lease)
+  , candidacy_(aMembership.Self().name, aMembership.Self().processors)
   , forgotten_(LongestForgottenAuthority(aSettings))
+  , outbox_(aScheduler, aPeers)
 {
 }
 
@@ -153,6 +155,7 @@
 FailoverDuty::Tick()
 {
   ReleaseIfIdle();
+  UpdateCandidacy();
   WriteLease();
   ReadLease();
   const bool holds = Holds();
@@ -161,25 +164,35 @@
   if (heldDuty_ && !holds) {
     control_.CloseAll();
     revocations_.clear();
+    announcements_.clear();
   }
   heldDuty_ = holds;
-  const Core::Instant now = scheduler_.Now();
-  if (holds && now >= nextHeartbeatsAt_) {
-    nextHeartbeatsAt_ = now + kHeartbeatInterval;
+  if (holds)
     membership_.MaintainMembers(
       KnowsAllChanges() ? std::optional(newestRecord_) : std::nullopt, seen_);
-  }
   for (auto& [name, supervisor] : supervisors_)
     supervisor->Tick();
 }
 
+void
+FailoverDuty::UpdateCandidacy()
+{
+  // The rows up to its own registration show which members come before it.
+  const bool knowsMembers =
+    appliedVersion_ > 0 && membership_.CoversRequest(scheduler_.Now());
+  if (Holds() || membership_.HasActiveHolder() || !knowsMembers)
+    candidacy_.OnHolder();
+  else
+    candidacy_.OnVacant(membership_.Roster(), scheduler_.Now());
+}
+
 void
 FailoverDuty::WriteLease()
 {
+  const Core::Instant now = scheduler_.Now();
   // Without a list of databases the duty has no work to do.
-  if (databases_.empty() || (!Holds() && membership_.HasActiveHolder()))
+  if (databases_.empty() || (!Holds() && !candidacy_.MayAcquire(now)))
     return;
-  const Core::Instant now = scheduler_.Now();
   const auto row = lease_.NextWrite(now);
   if (!row)
     return;
@@ -199,9 +212,8 @@
 FailoverDuty::ReadLease()
 {
   const Core::Instant now = scheduler_.Now();
-  const bool isHeldByPeer = !Holds() && membership_.HasActiveHolder();
-  const bool isUpToDate = Holds() && !lease_.NeedsRead();
-  if (isHeldByPeer || isUpToDate || isReadingLease_ || now < nextLeaseReadAt_)
+  const bool mayRead = Holds() ? lease_.NeedsRead() : candidacy_.MayRead(now);
+  if (!mayRead || isReadingLease_ || now < nextLeaseReadAt_)
     return;
   isReadingLease_ = true;
   nextLeaseReadAt_ = now + kReadInterval;
@@ -357,25 +369,35 @@
                           std::function<void(Authority::WriteOutcome)> aDone)
 {
   const Core::Instant requestedAt = scheduler_.Now();
-  store_.Write(
-    { "group/" + aRecord.group, aRecord.ToText(), aRecord.version },
-    [this, record = aRecord, requestedAt, done = std::move(aDone)](
-      const Authority::WriteOutcome& aOutcome) {
-      if (aOutcome.result == Authority::WriteResult::Applied) {
-        // A successful write shows what the store holds, just as a read does.
-        Authority::GroupRecord written = record;
-        written.version = aOutcome.version;
-        onRecord_(written, requestedAt);
-        if (!written.change) {
-          // Members that can't reach the store receive the record this way.
-          auto& broadcast = announcements_[written.group];
-          broadcast = std::make_unique<RecordBroadcast>(
-            scheduler_, peers_, membership_.Others(), written, [] {});
-          broadcast->Start();
-        }
-      }
-      done(aOutcome);
+  store_.Write({ "group/" + aRecord.group, aRecord.ToText(), aRecord.version },
+               [this, record = aRecord, requestedAt, done = std::move(aDone)](
+                 const Authority::WriteOutcome& aOutcome) {
+                 if (aOutcome.result == Authority::WriteResult::Applied) {
+                   // A successful write shows what the store holds, just as a
+                   // read does.
+                   Authority::GroupRecord written = record;
+                   written.version = aOutcome.version;
+                   onRecord_(written, requestedAt);
+                   if (!written.change)
+                     Announce(written);
+                 }
+                 done(aOutcome);
+               });
+}
+
+void
+FailoverDuty::Announce(const Authority::GroupRecord& aRecord)
+{
+  // Members that can't reach the store receive the record this way. The others
+  // read it, so that it need not reach everyone.
+  Announcement& announcement = announcements_[aRecord.group];
+  announcement.broadcast = std::make_unique<RecordBroadcast>(
+    outbox_, membership_.Others(), aRecord, [] {});
+  announcement.expiry = scheduler_.After(
+    settings_.supervisor.authorityLease.fenced, [this, group = aRecord.group] {
+      announcements_.at(group).broadcast.reset();
     });
+  announcement.broadcast->Start();
 }
 
 void
@@ -399,8 +421,7 @@
     return;
   announcements_.erase(aRevocation.record.group);
   aRevocation.broadcast = std::make_unique<RecordBroadcast>(
-    scheduler_,
-    peers_,
+    outbox_,
     forgotten_.WithForgotten(membership_.Others(), scheduler_.Now()),
     aRevocation.record,
     [this, group = aRevocation.record.group] { OnConfirmed(group); });
--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -1,5 +1,7 @@
 #include <LibPooler/Membership.h>
 
+#include <LibCore/Hash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -7,9 +9,18 @@
 
 namespace {
 
-/** The delay before a failed write of the own row is retried. */
+/**
+ * The delay before a failed write of the own row is retried. It doubles with
+ * each failure up to the maximum, and half of it is random: when all members
+ * of a large fleet register at once, the store refuses some of them.
+ */
 constexpr Core::Duration kRegistrationRetryDelay =
   std::chrono::milliseconds(200);
+constexpr Core::Duration kMaxRegistrationRetryDelay =
+  std::chrono::milliseconds(800);
+
+/** Counting the members' reports takes a while in a large fleet. */
+constexpr Core::Duration kSummaryLifetime = std::chrono::milliseconds(100);
 
 /**
  * A member that has not responded for this long is expelled. The limit is long
@@ -34,6 +45,7 @@
   , self_(std::move(aSelf))
   , authorityLease_(aAuthorityLease)
   , log_(std::move(aLog))
+  , random_(Core::StableHash(self_.Key()))
 {
 }
 
@@ -73,10 +85,10 @@
                    (aOutcome.result == Authority::WriteResult::Conflict &&
                     self_.version == 0);
                  if (!isStored) {
-                   retry_ = scheduler_.After(kRegistrationRetryDelay,
-                                             [this] { WriteSelf(); });
+                   RetryRegistration();
                    return;
                  }
+                 failedRegistrations_ = 0;
                  self_.version = std::max(self_.version, aOutcome.version);
                  registeredAt_ = scheduler_.Now();
                  log_("registered", { { "member", self_.Key() } });
@@ -85,6 +97,18 @@
                });
 }
 
+void
+Membership::RetryRegistration()
+{
+  const Core::Duration longest = std::min<Core::Duration>(
+    kRegistrationRetryDelay * (1 << std::min(failedRegistrations_++, 2)),
+    kMaxRegistrationRetryDelay);
+  const auto half = static_cast<std::uint64_t>(longest.count() / 2);
+  const Core::Duration delay(
+    static_cast<long long>(half + random_.Below(half + 1)));
+  retry_ = scheduler_.After(delay, [this] { WriteSelf(); });
+}
+
 void
 Membership::Apply(const Authority::StoredRow& aRow)
 {
@@ -136,8 +160,17 @@
   std::erase_if(contacts_, [this](const auto& aEntry) {
     return roster_.Find(aEntry.first) == nullptr;
   });
-  for (const Member& member : Others())
-    MaintainMember(member, aNewestRecord, aSeen);
+  for (const auto& [key, member] : roster_.All()) {
+    if (key != self_.Key())
+      MaintainMember(member, aNewestRecord, aSeen);
+  }
+}
+
+void
+Membership::ResetContacts()
+{
+  contacts_.clear();
+  summary_ = {};
 }
 
 bool
@@ -171,8 +204,13 @@
 {
   const Core::Instant now = scheduler_.Now();
   const std::string key = aMember.Key();
-  Contact& contact =
-    contacts_.try_emplace(key, Contact{ .lastResponseAt = now }).first->second;
+  const auto [entry, isNew] =
+    contacts_.try_emplace(key, Contact{ .lastResponseAt = now });
+  Contact& contact = entry->second;
+  if (isNew)
+    contact.nextHeartbeatAt =
+      now + Core::Duration(static_cast<long long>(random_.Below(
+              static_cast<std::uint64_t>(kHeartbeatInterval.count()))));
   if (aMember.name == self_.name) {
     // This is an earlier process of this VM, which can't be running any more.
     Remove(aMember);
@@ -190,9 +228,12 @@
     Expel(aMember, "silent");
     return;
   }
-  if (contact.isRequestPending)
+  if (contact.isRequestPending || now < contact.nextHeartbeatAt)
     return;
   contact.isRequestPending = true;
+  // Counted from when it was due, so that a late call doesn't slow the pace.
+  contact.nextHeartbeatAt = std::max(
+    contact.nextHeartbeatAt + kHeartbeatInterval, now + kHeartbeatInterval / 2);
   peers_.SendHeartbeat(
     aMember,
     { self_.Key(), key, contact.clock, aNewestRecord, false, aSeen },
@@ -257,26 +298,46 @@
     });
 }
 
-Membership::PrimaryReports
-Membership::ReportsOn(const std::string& aGroup) const
+const Membership::ReportSummary&
+Membership::Summary() const
 {
-  PrimaryReports reports;
   const Core::Instant now = scheduler_.Now();
-  for (const Member& member : Others()) {
-    const auto contact = contacts_.find(member.Key());
+  if (summary_.countedAt != Core::Instant::min() &&
+      now - summary_.countedAt < kSummaryLifetime)
+    return summary_;
+  summary_ = { .countedAt = now };
+  for (const auto& [key, member] : roster_.All()) {
+    if (key == self_.Key())
+      continue;
+    const auto contact = contacts_.find(key);
     // An expelled member may still be using the primary.
     if (member.isExpelled || contact == contacts_.end() ||
         now - contact->second.lastResponseAt > kHeartbeatTimeout) {
-      ++reports.unknown;
+      ++summary_.unknown;
       continue;
     }
-    if (contact->second.reachedGroups.contains(aGroup))
-      ++reports.reaching;
-    else
-      ++reports.notReaching;
-    if (contact->second.overloadedGroups.contains(aGroup))
-      ++reports.overloaded;
+    ++summary_.known;
+    for (const std::string& group : contact->second.reachedGroups)
+      ++summary_.reaching[group];
+    for (const std::string& group : contact->second.overloadedGroups)
+      ++summary_.overloaded[group];
   }
+  return summary_;
+}
+
+Membership::PrimaryReports
+Membership::ReportsOn(const std::string& aGroup) const
+{
+  const auto countOf = [&aGroup](const std::map<std::string, int>& aCounts) {
+    const auto count = aCounts.find(aGroup);
+    return count == aCounts.end() ? 0 : count->second;
+  };
+  const ReportSummary& summary = Summary();
+  PrimaryReports reports;
+  reports.reaching = countOf(summary.reaching);
+  reports.notReaching = summary.known - reports.reaching;
+  reports.unknown = summary.unknown;
+  reports.overloaded = countOf(summary.overloaded);
   return reports;
 }
 
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -479,6 +479,8 @@
   }
   // This node and the holder differ in the newest record, so this node may
   // have missed a change of primary.
+  if (newest < *aHeartbeat.newestRecord && feeds_ != nullptr)
+    feeds_->RefreshOwnRows();
   if (newest != *aHeartbeat.newestRecord)
     return;
   for (auto& [name, router] : routers_)
--- a/Libraries/LibPooler/RecordBroadcast.cpp
+++ b/Libraries/LibPooler/RecordBroadcast.cpp
@@ -1,81 +1,69 @@
 #include <LibPooler/RecordBroadcast.h>
 
+#include <set>
 #include <utility>
 
 namespace Pooler {
 
-namespace {
+/** The members without an acknowledgement so far. */
+class RecordBroadcast::Progress final : public RecordReceipts
+{
+public:
+  Progress(const std::vector<Member>& aMembers, std::function<void()> aDone)
+    : done_(std::move(aDone))
+  {
+    for (const Member& member : aMembers)
+      pending_.insert(member.Key());
+  }
+
+  std::size_t PendingCount() const { return pending_.size(); }
+
+  void FinishIfReceivedByAll() const
+  {
+    if (!pending_.empty())
+      return;
+    // The handler may destroy the broadcast, and with it this object.
+    const std::function<void()> done = done_;
+    done();
+  }
 
-/** The delay before the record is sent again to a silent member. */
-constexpr Core::Duration kRepeatDelay = std::chrono::milliseconds(150);
+private:
+  void OnReceived(const std::string& aMemberKey) override
+  {
+    pending_.erase(aMemberKey);
+    FinishIfReceivedByAll();
+  }
 
-} // namespace
+  std::set<std::string> pending_;
+  std::function<void()> done_;
+};
 
-RecordBroadcast::RecordBroadcast(Core::Scheduler& aScheduler,
-                                 PeerLink& aPeers,
+RecordBroadcast::RecordBroadcast(RecordOutbox& aOutbox,
                                  std::vector<Member> aMembers,
                                  Authority::GroupRecord aRecord,
                                  std::function<void()> aDone)
-  : scheduler_(aScheduler)
-  , peers_(aPeers)
-  , record_(std::move(aRecord))
-  , done_(std::move(aDone))
+  : outbox_(aOutbox)
+  , members_(std::move(aMembers))
+  , record_(std::make_shared<const Authority::GroupRecord>(std::move(aRecord)))
+  , progress_(std::make_shared<Progress>(members_, std::move(aDone)))
 {
-  for (Member& member : aMembers)
-    pending_.emplace(member.Key(), std::move(member));
 }
 
-RecordBroadcast::~RecordBroadcast()
-{
-  *alive_ = false;
-}
+RecordBroadcast::~RecordBroadcast() = default;
 
 void
 RecordBroadcast::Start()
 {
-  if (pending_.empty()) {
-    Finish();
-    return;
-  }
-  std::vector<std::string> keys;
-  for (const auto& [key, member] : pending_)
-    keys.push_back(key);
-  for (const std::string& key : keys)
-    Send(key);
+  for (const Member& member : members_)
+    outbox_.Add(member, record_, progress_);
+  members_.clear();
+  progress_->FinishIfReceivedByAll();
 }
 
-void
-RecordBroadcast::Send(const std::string& aKey)
-{
-  peers_.SendRecord(pending_.at(aKey),
-                    record_,
-                    [this, alive = alive_, aKey](PeerDelivery aDelivery) {
-                      if (*alive)
-                        OnDelivery(aKey, aDelivery);
-                    });
-}
-
-void
-RecordBroadcast::OnDelivery(const std::string& aKey, PeerDelivery aDelivery)
-{
-  if (aDelivery == PeerDelivery::Silent) {
-    scheduler_.DeferFor(kRepeatDelay, [this, alive = alive_, aKey] {
-      if (*alive)
-        Send(aKey);
-    });
-    return;
-  }
-  pending_.erase(aKey);
-  if (pending_.empty())
-    Finish();
-}
-
-void
-RecordBroadcast::Finish()
+std::size_t
+RecordBroadcast::PendingCount() const
 {
-  // The handler may destroy this broadcast.
-  const std::function<void()> done = done_;
-  done();
+  return progress_->PendingCount();
 }
 
 } // namespace Pooler
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -3,6 +3,7 @@
 #include <LibAuthority/DutyLease.h>
 #include <LibAuthority/GroupSupervisor.h>
 #include <LibPooler/ControlLinks.h>
+#include <LibPooler/DutyCandidacy.h>
 #include <LibPooler/ForgottenMembers.h>
 #include <LibPooler/Membership.h>
 #include <LibPooler/RecordBroadcast.h>
@@ -120,6 +121,16 @@
     std::int64_t startedAt = 0;
   };
 
+  /** The newest record of a group, on its way to the members. */
+  struct Announcement
+  {
+    std::unique_ptr<RecordBroadcast> broadcast;
+    /** Gives up on members that can't be reached. */
+    Core::TimerHandle expiry;
+  };
+
+  void UpdateCandidacy();
+  void Announce(const Authority::GroupRecord& aRecord);
   void ReleaseIfIdle();
   bool IsChangingPrimary() const;
   void WriteLease();
@@ -170,6 +181,7 @@
   std::set<std::string> overloaded_;
   std::map<std::string, std::size_t> ownerCounts_;
   Authority::DutyLease lease_;
+  DutyCandidacy candidacy_;
   ForgottenMembers forgotten_;
   DatabaseList databases_;
   /**
@@ -181,10 +193,12 @@
   std::map<std::string, std::string> primaries_;
   std::map<std::string, std::unique_ptr<Authority::GroupSupervisor>>
     supervisors_;
+  /** Outlives the broadcasts below, which send through it. */
+  RecordOutbox outbox_;
   std::map<std::string, Revocation> revocations_;
   /** By group: sends the members a written record with no change in progress.
    */
-  std::map<std::string, std::unique_ptr<RecordBroadcast>> announcements_;
+  std::map<std::string, Announcement> announcements_;
   std::uint64_t appliedVersion_ = 0;
   std::uint64_t newestRecord_ = 0;
   /** When this node stops, it releases the duty by then at the latest. */
@@ -192,7 +206,6 @@
   bool isReadingLease_ = false;
   bool heldDuty_ = false;
   Core::Instant nextLeaseReadAt_ = Core::Instant::min();
-  Core::Instant nextHeartbeatsAt_ = Core::Instant::min();
 };
 
 } // namespace Pooler
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibAuthority/CoordinationStore.h>
+#include <LibCore/Random.h>
 #include <LibCore/Scheduler.h>
 #include <LibPooler/Log.h>
 #include <LibPooler/MemberRoster.h>
@@ -25,10 +26,10 @@
 class Membership
 {
 public:
-  /**
-   * A member or holder without a message for this long counts as silent.
-   * Heartbeats are sent every 300 ms.
-   */
+  /** How often the holder of the failover duty contacts each member. */
+  static constexpr Core::Duration kHeartbeatInterval =
+    std::chrono::milliseconds(300);
+  /** A member or holder without a message for this long counts as silent. */
   static constexpr Core::Duration kHeartbeatTimeout =
     std::chrono::milliseconds(700);
 
@@ -64,8 +65,9 @@
   bool CoversRequest(Core::Instant aRequestedAt) const;
 
   /**
-   * Sends heartbeats to the other members, expels silent ones and removes
-   * expelled ones. Called periodically by the holder of the failover duty.
+   * Sends the heartbeats that are due, expels silent members and removes
+   * expelled ones. Called by the holder of the failover duty, several times in
+   * each heartbeat interval, over which the heartbeats are spread.
    * aNewestRecord is the newest version among the groups' records, if it is
    * known for certain; aSeen is reported to the other members.
    */
@@ -79,7 +81,7 @@
    * Discards the response times of other members, which are out of date when
    * a new lease period of the failover duty begins.
    */
-  void ResetContacts() { contacts_.clear(); }
+  void ResetContacts();
   void OnHeartbeat(const Heartbeat& aHeartbeat);
   /** True while heartbeats of a holder of the failover duty arrive. */
   bool HasActiveHolder() const;
@@ -107,6 +109,17 @@
   PrimaryReports ReportsOn(const std::string& aGroup) const;
 
 private:
+  /** What all members report, counted at once for all groups. */
+  struct ReportSummary
+  {
+    Core::Instant countedAt = Core::Instant::min();
+    int known = 0;
+    int unknown = 0;
+    std::map<std::string, int> reaching{};
+    std::map<std::string, int> overloaded{};
+  };
+  const ReportSummary& Summary() const;
+
   /** The holder's state about another member. */
   struct Contact
   {
@@ -116,6 +129,7 @@
      * that the write of its row isn't repeated on each call.
      */
     Core::Instant lastResponseAt;
+    Core::Instant nextHeartbeatAt{};
     Core::Instant expelledSince = Core::Instant::min();
     bool isRequestPending = false;
     /** The member's clock in its last response, sent back to it as the echo. */
@@ -126,6 +140,7 @@
   };
 
   void WriteSelf();
+  void RetryRegistration();
   void MaintainMember(const Member& aMember,
                       std::optional<std::uint64_t> aNewestRecord,
                       const SeenVersions& aSeen);
@@ -146,8 +161,11 @@
   bool isRegistering_ = false;
   bool isLeaving_ = false;
   Core::TimerHandle retry_;
+  int failedRegistrations_ = 0;
+  Core::Random random_;
   Core::Instant lastHeartbeatAt_ = Core::Instant::min();
   std::map<std::string, Contact> contacts_;
+  mutable ReportSummary summary_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -94,6 +94,7 @@
   void SetFeeds(RowFeeds* aFeeds) { feeds_ = aFeeds; }
   /** True while other nodes would notify this one of a change in the store. */
   bool IsNotifiedOfChanges() const;
+  bool HoldsDuty() const { return duty_.Holds(); }
 
   /** True if this node can serve clients; reported by the readiness check. */
   bool IsReady() const;
--- a/Libraries/LibPooler/include/LibPooler/Peers.h
+++ b/Libraries/LibPooler/include/LibPooler/Peers.h
@@ -134,12 +134,12 @@
                              std::function<void(HeartbeatResponse)> aDone) = 0;
 
   /**
-   * Sends a record to a member. A member that has responded acts on that
-   * record or on a newer one.
+   * Sends records to a member. A member that has responded acts on each of
+   * them, or on a newer one of the same group.
    */
-  virtual void SendRecord(const Member& aMember,
-                          const Authority::GroupRecord& aRecord,
-                          std::function<void(PeerDelivery)> aDone) = 0;
+  virtual void SendRecords(const Member& aMember,
+                           const std::vector<Authority::GroupRecord>& aRecords,
+                           std::function<void(PeerDelivery)> aDone) = 0;
 
   /**
    * Requests a member's records on behalf of the process with the key aSelf.
--- a/Libraries/LibPooler/include/LibPooler/RecordBroadcast.h
+++ b/Libraries/LibPooler/include/LibPooler/RecordBroadcast.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <LibCore/Scheduler.h>
-#include <LibPooler/Peers.h>
+#include <LibPooler/RecordOutbox.h>
 
-#include <map>
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Pooler {
 
@@ -19,8 +19,7 @@
 {
 public:
   /** aDone runs once all members have acknowledged the record or ended. */
-  RecordBroadcast(Core::Scheduler& aScheduler,
-                  PeerLink& aPeers,
+  RecordBroadcast(RecordOutbox& aOutbox,
                   std::vector<Member> aMembers,
                   Authority::GroupRecord aRecord,
                   std::function<void()> aDone);
@@ -30,19 +29,16 @@
 
   void Start();
   /** The number of members that have not acknowledged the record yet. */
-  std::size_t PendingCount() const { return pending_.size(); }
+  std::size_t PendingCount() const;
 
 private:
-  void Send(const std::string& aKey);
-  void OnDelivery(const std::string& aKey, PeerDelivery aDelivery);
-  void Finish();
-
-  Core::Scheduler& scheduler_;
-  PeerLink& peers_;
-  Authority::GroupRecord record_;
-  std::function<void()> done_;
-  std::map<std::string, Member> pending_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  class Progress;
+
+  RecordOutbox& outbox_;
+  std::vector<Member> members_;
+  std::shared_ptr<const Authority::GroupRecord> record_;
+  /** Shared with the outbox only; its destruction stops the retries. */
+  std::shared_ptr<Progress> progress_;
 };
 
 } // namespace Pooler
--- a/Tests/LibAuthority/TestRowFollower.cpp
+++ b/Tests/LibAuthority/TestRowFollower.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr Core::Duration kOneWay = 2ms;
-constexpr Authority::FollowTiming kTiming{ 2s, 12s, 100ms };
+constexpr Authority::FollowTiming kTiming{ 2s, 12s, 100ms, 2s };
 
 constexpr Core::Duration kTransferTimes[] = { 100ms, 700ms, 3s };
 
@@ -62,7 +62,8 @@
         "t",
         kTiming,
         Core::Random(1),
-        [this] { return receivesFromPeers; },
+        { [this] { return receivesFromPeers; },
+          [this] { return mustBePrompt; } },
         [this](const FollowedRows& aRows) { OnRows(aRows); },
         [this](const Authority::FollowEvent& aEvent) {
           events.push_back(aEvent.kind);
@@ -169,6 +170,7 @@
   /** How long the rows of a response take to arrive after its first bytes. */
   Core::Duration transferTime{ 0 };
   bool receivesFromPeers = false;
+  bool mustBePrompt = false;
   /** Requests for changes get no reply. */
   bool isUnresponsive = false;
   /** Every request for changes fails for lack of history. */
@@ -227,6 +229,70 @@
   BOOST_TEST(requests - before <= 5);
 }
 
+/**
+ * A large fleet restarts, or its VMs are replaced one by one for minutes: a row
+ * changes every 100 ms, and each node is told of every change.
+ */
+BOOST_AUTO_TEST_CASE(ALongSeriesOfChangesTakesOneRequestABusyInterval)
+{
+  receivesFromPeers = true;
+  follower.Start();
+  AdvanceBy(10s);
+  const int before = requests;
+  for (int i = 0; i < 300; ++i) {
+    Put("m" + std::to_string(i));
+    AdvanceBy(100ms);
+  }
+  BOOST_TEST(requests - before <= 30s / kTiming.busyInterval +
+                                    Authority::RowFollower::kMaxPromptPolls +
+                                    1);
+  AdvanceBy(kTiming.busyInterval + 100ms);
+  BOOST_TEST(receivedVersions.size() == 300U);
+}
+
+BOOST_AUTO_TEST_CASE(AChangeAfterAQuietTimeIsDeliveredPromptly)
+{
+  receivesFromPeers = true;
+  follower.Start();
+  for (int i = 0; i < 50; ++i) {
+    Put("m" + std::to_string(i));
+    AdvanceBy(100ms);
+  }
+  AdvanceBy(10s);
+  for (const char* key : { "a", "b" }) {
+    Put(key);
+    AdvanceBy(150ms);
+    BOOST_TEST(receivedVersions.contains(key));
+  }
+}
+
+/** The holder of the failover duty acts on members that have just started. */
+BOOST_AUTO_TEST_CASE(APromptFollowerKeepsToTheShortPause)
+{
+  mustBePrompt = true;
+  follower.Start();
+  AdvanceBy(1s);
+  for (int i = 0; i < 50; ++i) {
+    Put("m" + std::to_string(i));
+    AdvanceBy(150ms);
+    BOOST_TEST(receivedVersions.contains("m" + std::to_string(i)));
+  }
+}
+
+/** A peer has a newer record of a group than this node. */
+BOOST_AUTO_TEST_CASE(ARefreshEndsThePauseAfterChanges)
+{
+  follower.Start();
+  for (int i = 0; i < 20; ++i) {
+    Put("m" + std::to_string(i));
+    AdvanceBy(100ms);
+  }
+  BOOST_REQUIRE(!receivedVersions.contains("m19"));
+  follower.Refresh();
+  AdvanceBy(10ms);
+  BOOST_TEST(receivedVersions.contains("m19"));
+}
+
 BOOST_AUTO_TEST_CASE(PollsOftenWithoutPeerUpdates)
 {
   follower.Start();
--- a/Tests/LibPooler/TestFailoverDuty.cpp
+++ b/Tests/LibPooler/TestFailoverDuty.cpp
@@ -99,12 +99,13 @@
                      std::function<void(Pooler::HeartbeatResponse)>) override
   {
   }
-  void SendRecord(const Pooler::Member& aMember,
-                  const Authority::GroupRecord&,
-                  std::function<void(Pooler::PeerDelivery)> aDone) override
+  void SendRecords(const Pooler::Member& aMember,
+                   const std::vector<Authority::GroupRecord>&,
+                   std::function<void(Pooler::PeerDelivery)> aDone) override
   {
     recipients.insert(aMember.Key());
-    time.DeferFor(2ms, [aDone] { aDone(Pooler::PeerDelivery::Answered); });
+    ++messages;
+    time.DeferFor(2ms, [this, aDone] { aDone(delivery); });
   }
   void FetchRecords(
     const Pooler::Member&,
@@ -123,6 +124,8 @@
   Pooler::FailoverDuty duty;
   /** The members that were sent a record. */
   std::set<std::string> recipients;
+  int messages = 0;
+  Pooler::PeerDelivery delivery = Pooler::PeerDelivery::Answered;
 };
 
 /** Another database that is listed at the address of the primary. */
@@ -256,6 +259,25 @@
   BOOST_TEST(recipients.contains("other#1") == sample.isAsked);
 }
 
+/**
+ * A record is announced to members that can't reach the store. One that is gone
+ * for good must not keep its holder busy for as long as that runs.
+ */
+BOOST_FIXTURE_TEST_CASE(AnAnnouncementToASilentMemberEnds, Fixture)
+{
+  membership.Apply(Pooler::MemberRoster::RowOf(Other()));
+  delivery = Pooler::PeerDelivery::Silent;
+  Authority::GroupRecord record;
+  record.group = "g";
+  Port().WriteRecord(record, [](const WriteOutcome&) {});
+  AdvanceBy(1s);
+  BOOST_TEST(messages > 1);
+  AdvanceBy(kLease.fenced);
+  const int before = messages;
+  AdvanceBy(5s);
+  BOOST_TEST(messages == before);
+}
+
 /**
  * Members that the store forgot twice in quick succession may hold authority as
  * well, although the latest list never had them.
--- a/Tests/LibPooler/TestMembership.cpp
+++ b/Tests/LibPooler/TestMembership.cpp
@@ -40,7 +40,7 @@
   Fixture()
     : membership(time, *this, *this, MakeMember("me"), kLease, IgnoreLog())
   {
-    timer = time.Every(300ms, [this] {
+    timer = time.Every(50ms, [this] {
       if (holdsDuty)
         membership.MaintainMembers(7);
     });
@@ -75,6 +75,7 @@
   void Write(const StoredRow& aRow,
              std::function<void(WriteOutcome)> aDone) override
   {
+    ++writes;
     Change(aRow, false, aDone);
   }
   void Remove(const StoredRow& aRow,
@@ -110,6 +111,7 @@
     std::function<void(Pooler::HeartbeatResponse)> aDone) override
   {
     lastHeartbeat = aHeartbeat;
+    ++heartbeats;
     Pooler::HeartbeatResponse response;
     response.delivery = deliveries[aMember.Key()];
     response.clock = Core::Instant(5s);
@@ -117,9 +119,9 @@
       response.reachedGroups = { "g" };
     time.DeferFor(2ms, [aDone, response] { aDone(response); });
   }
-  void SendRecord(const Member& aMember,
-                  const Authority::GroupRecord&,
-                  std::function<void(PeerDelivery)> aDone) override
+  void SendRecords(const Member& aMember,
+                   const std::vector<Authority::GroupRecord>&,
+                   std::function<void(PeerDelivery)> aDone) override
   {
     time.DeferFor(
       2ms, [this, key = aMember.Key(), aDone] { aDone(deliveries[key]); });
@@ -135,6 +137,8 @@
   std::map<std::string, StoredRow> rows;
   std::uint64_t version = 0;
   bool isStoreDown = false;
+  int writes = 0;
+  int heartbeats = 0;
   bool holdsDuty = true;
   std::map<std::string, PeerDelivery> deliveries;
   Pooler::Heartbeat lastHeartbeat;
@@ -266,6 +270,56 @@
   BOOST_TEST(lastHeartbeat.receiver == "other#1");
 }
 
+/**
+ * The holder of the failover duty may be a small VM. Heartbeats to all members
+ * of a large fleet at the same moment would delay everything else it does.
+ */
+BOOST_AUTO_TEST_CASE(HeartbeatsToALargeFleetAreSpreadOverTheInterval)
+{
+  constexpr int kOthers = 300;
+  constexpr int kTicksAnInterval = 6;
+  for (int i = 0; i < kOthers; ++i) {
+    AddMember(MakeMember("m" + std::to_string(i)));
+    deliveries["m" + std::to_string(i) + "#1"] = PeerDelivery::Answered;
+  }
+  ApplyRows();
+  AdvanceBy(600ms);
+  for (int i = 0; i < 20; ++i) {
+    heartbeats = 0;
+    AdvanceBy(50ms);
+    BOOST_TEST(heartbeats <= 2 * kOthers / kTicksAnInterval);
+  }
+  heartbeats = 0;
+  AdvanceBy(3s);
+  BOOST_TEST(heartbeats >= 9 * kOthers);
+  BOOST_TEST(heartbeats <= 11 * kOthers);
+}
+
+BOOST_AUTO_TEST_CASE(ReportsAreCountedForEachGroup)
+{
+  for (const char* name : { "a", "b", "c" })
+    AddMember(MakeMember(name));
+  deliveries["a#1"] = PeerDelivery::Answered;
+  deliveries["b#1"] = PeerDelivery::Answered;
+  deliveries["c#1"] = PeerDelivery::Silent;
+  ApplyRows();
+  AdvanceBy(2s);
+  const auto reports = membership.ReportsOn("g");
+  BOOST_TEST(reports.reaching == 2);
+  BOOST_TEST(reports.unknown == 1);
+  BOOST_TEST(membership.ReportsOn("other").notReaching == 2);
+}
+
+/** The store refuses what exceeds its rate when a large fleet registers. */
+BOOST_AUTO_TEST_CASE(RefusedRegistrationsAreRepeatedEverMoreSlowly)
+{
+  isStoreDown = true;
+  membership.Register([] {});
+  AdvanceBy(10s);
+  BOOST_TEST(writes >= 10);
+  BOOST_TEST(writes <= 30);
+}
+
 BOOST_AUTO_TEST_CASE(AfterAResignationThereIsNoActiveHolder)
 {
   membership.OnHeartbeat({ "other#1", "me#1", std::nullopt, 1, false });
@@ -280,12 +334,11 @@
   deliveries["b#1"] = PeerDelivery::Silent;
   deliveries["c#1"] = PeerDelivery::Ended;
   bool isDone = false;
+  Pooler::RecordOutbox outbox(time, *this);
   Pooler::RecordBroadcast broadcast(
-    time,
-    *this,
-    { MakeMember("a"), MakeMember("b"), MakeMember("c") },
-    {},
-    [&] { isDone = true; });
+    outbox, { MakeMember("a"), MakeMember("b"), MakeMember("c") }, {}, [&] {
+      isDone = true;
+    });
   broadcast.Start();
   AdvanceBy(1s);
   BOOST_TEST(!isDone);
--- a/Tests/LibPooler/TestNode.cpp
+++ b/Tests/LibPooler/TestNode.cpp
@@ -124,9 +124,9 @@
                      std::function<void(Pooler::HeartbeatResponse)>) override
   {
   }
-  void SendRecord(const Pooler::Member&,
-                  const Authority::GroupRecord&,
-                  std::function<void(Pooler::PeerDelivery)>) override
+  void SendRecords(const Pooler::Member&,
+                   const std::vector<Authority::GroupRecord>&,
+                   std::function<void(Pooler::PeerDelivery)>) override
   {
   }
   void FetchRecords(
@@ -148,6 +148,16 @@
   Pooler::Node node;
 };
 
+class FakeFeeds final : public Pooler::RowFeeds
+{
+public:
+  Pooler::SeenVersions Seen() const override { return {}; }
+  void OnSeenByPeer(const Pooler::SeenVersions&) override {}
+  void RefreshOwnRows() override { ++refreshes; }
+
+  int refreshes = 0;
+};
+
 /** A heartbeat that arrives after the node's own authority has expired. */
 struct HeartbeatCase
 {
@@ -264,6 +274,25 @@
   BOOST_TEST(!HoldsAuthority());
 }
 
+/** A node that missed a change of primary doesn't wait for its next poll. */
+BOOST_AUTO_TEST_CASE(AHeartbeatWithANewerRecordRefreshesTheRows)
+{
+  FakeFeeds feeds;
+  node.SetFeeds(&feeds);
+  RegisterNode();
+  Pooler::Heartbeat heartbeat;
+  heartbeat.sender = "holder#1";
+  heartbeat.receiver = "me#1";
+  heartbeat.echo = time.Now();
+  heartbeat.newestRecord = kRecordVersion;
+  node.OnHeartbeat(heartbeat);
+  BOOST_TEST(feeds.refreshes == 0);
+  heartbeat.newestRecord = kRecordVersion + 1;
+  node.OnHeartbeat(heartbeat);
+  BOOST_TEST(feeds.refreshes == 1);
+  node.SetFeeds(nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(OnlyMembersReceiveTheAgesOfRecords)
 {
   RegisterNode();
