Odd rows: Leave them out of service, and never stop for them

An operator of a similar system reports processes that end, or stop following, over one odd entry. No process ended and no feed stopped. But a database of a service that no configuration names was connected to and supervised; a port of 0, an unknown role and fields of other types were accepted; a finding quoted 64 KiB into the log; and a record of a group that was overwritten left a node that started later not ready for ever, and the group without a failover, since the supervisor's writes conflicted.

Only groups that the configuration names are supervised. Entries with such fields are refused, with bounded findings, one log line and the counter rows_unreadable_total. An overwritten record counts like one from before a restoration: it renews no authority until the holder of the duty has asked the databases and written it again; if no process knows it, all databases must reply.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -194,8 +194,12 @@
 {
   const bool isTimedOut =
     scheduler_.Now() - stageSince_ > timing_.choiceTimeout;
+  // The record that can't be read any more may have named a database that
+  // doesn't reply now, so that all must.
+  const bool mayLackReplies =
+    isTimedOut && !port_.VersionOfUnreadableRow(group_);
   const SurveyResult result =
-    AssessPrimary({ record_, databases_, statuses_, isTimedOut });
+    AssessPrimary({ record_, databases_, statuses_, mayLackReplies });
   switch (result.decision) {
     case SurveyDecision::Wait:
       if (isTimedOut)
@@ -221,7 +225,8 @@
   record.group = group_;
   record.primary = aPrimary;
   record.term = statuses_.at(aPrimary).term;
-  record.version = port_.VersionOfMissingRow();
+  record.version =
+    port_.VersionOfUnreadableRow(group_).value_or(port_.VersionOfMissingRow());
   WriteEnd(record);
 }
 
@@ -241,6 +246,7 @@
 GroupSupervisor::WriteAndThen(GroupRecord aRecord, std::function<void()> aNext)
 {
   aRecord.basis = aRecord.version;
+  aRecord.isOverwritten = false;
   port_.WriteRecord(
     aRecord,
     [this, epoch = epoch_, record = aRecord, next = std::move(aNext)](
--- a/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
@@ -51,12 +51,19 @@
   std::uint64_t basis = 0;
 
   /**
-   * True if this record was written in the era in which it was read. Otherwise
-   * the store may have lost newer records in a restoration.
+   * True if the row has since been overwritten with something that can't be
+   * read. `version` is that of the overwritten row, so that the record can be
+   * written again. Not stored.
+   */
+  bool isOverwritten = false;
+
+  /**
+   * True if this record was written in the era in which it was read. Otherwise,
+   * and if it has been overwritten, the store may have lost newer records.
    */
   bool IsOfCurrentEra() const
   {
-    return StoreEraOf(basis) == StoreEraOf(version);
+    return !isOverwritten && StoreEraOf(basis) == StoreEraOf(version);
   }
 
   /**
--- a/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
+++ b/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
@@ -97,6 +97,12 @@
    * number 0 in the store's current era.
    */
   virtual std::uint64_t VersionOfMissingRow() const = 0;
+  /**
+   * The version of the group's row if it holds something that can't be read;
+   * none otherwise.
+   */
+  virtual std::optional<std::uint64_t> VersionOfUnreadableRow(
+    const std::string& aGroup) const = 0;
 
   /** Writes the record if the stored version is still aRecord.version. */
   virtual void WriteRecord(const GroupRecord& aRecord,
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -114,15 +114,26 @@
   UpdateSupervisors();
 }
 
+void
+FailoverDuty::SetGroups(std::set<std::string> aGroups)
+{
+  groups_ = std::move(aGroups);
+  UpdateSupervisors();
+}
+
 void
 FailoverDuty::UpdateSupervisors()
 {
   std::map<std::string, std::vector<Authority::SupervisedDatabase>> groups;
   for (const auto& [name, supervisor] : supervisors_)
     groups[name];
-  for (const auto& [id, database] : databases_)
-    groups[database.group].push_back(
-      { id, database.dataCentre, database.isLeaving });
+  for (const std::string& name : groups_)
+    groups[name];
+  for (const auto& [id, database] : databases_) {
+    const auto group = groups.find(database.group);
+    if (group != groups.end())
+      group->second.push_back({ id, database.dataCentre, database.isLeaving });
+  }
   for (auto& [name, databases] : groups)
     SupervisorOf(name).SetDatabases(std::move(databases));
 }
@@ -133,6 +144,8 @@
   forgotten_.OnRecord(aRecord, scheduler_.Now());
   newestRecord_ = std::max(newestRecord_, aRecord.version);
   primaries_[aRecord.group] = aRecord.primary;
+  if (!aRecord.isOverwritten)
+    unreadable_.erase(aRecord.group);
   SupervisorOf(aRecord.group).SetRecord(aRecord);
   const auto revocation = revocations_.find(aRecord.group);
   const bool isSuperseded = revocation != revocations_.end() &&
@@ -364,6 +377,13 @@
     std::move(aDone));
 }
 
+std::optional<std::uint64_t>
+FailoverDuty::VersionOfUnreadableRow(const std::string& aGroup) const
+{
+  const auto row = unreadable_.find(aGroup);
+  return row == unreadable_.end() ? std::nullopt : std::optional(row->second);
+}
+
 void
 FailoverDuty::WriteRecord(const Authority::GroupRecord& aRecord,
                           std::function<void(Authority::WriteOutcome)> aDone)
--- a/Libraries/LibPooler/MemberRoster.cpp
+++ b/Libraries/LibPooler/MemberRoster.cpp
@@ -4,6 +4,23 @@
 
 namespace Pooler {
 
+namespace {
+
+/** Throws if the field is missing or isn't a string. */
+std::optional<Wire::Address>
+ReadAddress(const boost::json::object& aFields,
+            std::string_view aField,
+            Core::LastReason& aReason)
+{
+  auto address =
+    Wire::Address::Parse(std::string(aFields.at(aField).as_string()), aReason);
+  if (address && address->port == 0)
+    address = aReason.Set("port 0 can't be connected to");
+  return address;
+}
+
+} // namespace
+
 Authority::StoredRow
 MemberRoster::RowOf(const Member& aMember)
 {
@@ -39,12 +56,9 @@
     member.incarnation = fields.at("incarnation").as_string();
     member.dataCentre = fields.at("data_centre").as_string();
     member.isExpelled = fields.at("expelled").as_bool();
-    const auto peers = Wire::Address::Parse(
-      std::string(fields.at("address").as_string()), aReason);
-    const auto relay = Wire::Address::Parse(
-      std::string(fields.at("relay").as_string()), aReason);
-    const auto checkouts = Wire::Address::Parse(
-      std::string(fields.at("checkouts").as_string()), aReason);
+    const auto peers = ReadAddress(fields, "address", aReason);
+    const auto relay = ReadAddress(fields, "relay", aReason);
+    const auto checkouts = ReadAddress(fields, "checkouts", aReason);
     if (!peers || !relay || !checkouts)
       return false;
     member.processors = fields.at("processors").to_number<double>();
--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -109,12 +109,14 @@
   retry_ = scheduler_.After(delay, [this] { WriteSelf(); });
 }
 
-void
+bool
 Membership::Apply(const Authority::StoredRow& aRow)
 {
   Core::LastReason reason;
-  if (!roster_.Apply(aRow, reason))
-    log_("member_unreadable", { { "reason", reason.Text() } });
+  if (roster_.Apply(aRow, reason))
+    return true;
+  log_("member_unreadable", { { "reason", reason.Text() } });
+  return false;
 }
 
 void
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -12,6 +12,9 @@
 /** The key prefix of group records; members have their own prefix. */
 constexpr std::string_view kGroupPrefix = "group/";
 
+/** Counts rows of the system's own table that can't be read. */
+constexpr const char* kUnreadableRows = "rows_unreadable_total{table=\"own\"}";
+
 /** How often the node checks leases, groups and overload. */
 constexpr Core::Duration kTickInterval = std::chrono::milliseconds(50);
 
@@ -113,8 +116,14 @@
   longestStatement_ = Core::Duration::zero();
   for (const auto& [database, route] : configuration_.routes)
     longestStatement_ = std::max(longestStatement_, route.statementTimeout);
+  std::set<std::string> groups;
   for (const auto& [group, limit] : configuration_.maxConnections)
+    groups.insert(group);
+  for (const auto& [database, route] : configuration_.routes)
+    groups.insert(route.group);
+  for (const std::string& group : groups)
     RouterOf(group);
+  duty_.SetGroups(std::move(groups));
   UpdateRouterGoals();
   UpdateRouterDatabases();
   UpdateConnectionShares();
@@ -329,8 +338,9 @@
 {
   if (StartsWith(aRow.key, kGroupPrefix))
     ApplyGroupRow(aRow, aRequestedAt);
-  else if (StartsWith(aRow.key, MemberRoster::kKeyPrefix))
-    membership_.Apply(aRow);
+  else if (StartsWith(aRow.key, MemberRoster::kKeyPrefix) &&
+           !membership_.Apply(aRow))
+    metrics_.Count(kUnreadableRows);
 }
 
 void
@@ -341,13 +351,32 @@
   Core::LastReason reason;
   auto record = Authority::GroupRecord::Parse(name, aRow.value, reason);
   if (!record) {
+    metrics_.Count(kUnreadableRows);
     log_("group_record_unreadable", { { "reason", reason.Text() } });
+    NoteOverwrittenRecord(name, aRow.version);
     return;
   }
   record->version = aRow.version;
   Observe(*record, aRequestedAt);
 }
 
+void
+Node::NoteOverwrittenRecord(const std::string& aGroup, std::uint64_t aVersion)
+{
+  // A group without a router was never configured, nor had a record.
+  const GroupRouter* router = FindRouter(aGroup);
+  if (router == nullptr)
+    return;
+  duty_.SetUnreadable(aGroup, aVersion);
+  const auto& known = router->Authority().Record();
+  if (!known)
+    return;
+  Authority::GroupRecord overwritten = *known;
+  overwritten.version = aVersion;
+  overwritten.isOverwritten = true;
+  Observe(overwritten, Authority::kNoRequestTime);
+}
+
 void
 Node::Observe(const Authority::GroupRecord& aRecord, Core::Instant aRequestedAt)
 {
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -63,7 +63,17 @@
   ~FailoverDuty() override;
 
   void SetDatabases(const DatabaseList& aDatabases);
+  /**
+   * Sets the groups that the configuration names. A database of another group
+   * isn't supervised: its entry may come from another writer.
+   */
+  void SetGroups(std::set<std::string> aGroups);
   void SetRecord(const Authority::GroupRecord& aRecord);
+  /** Reports that a group's row holds something that can't be read. */
+  void SetUnreadable(const std::string& aGroup, std::uint64_t aVersion)
+  {
+    unreadable_[aGroup] = aVersion;
+  }
   /** Reports that a snapshot of that version is about to be applied. */
   void OnSnapshotBegins(std::uint64_t aVersion);
   /** Reports that all store rows up to aVersion have been applied. */
@@ -162,6 +172,8 @@
     return Authority::MakeStoreVersion(Authority::StoreEraOf(appliedVersion_),
                                        0);
   }
+  std::optional<std::uint64_t> VersionOfUnreadableRow(
+    const std::string& aGroup) const override;
   void WriteRecord(const Authority::GroupRecord& aRecord,
                    std::function<void(Authority::WriteOutcome)> aDone) override;
   void RevokeEverywhere(const Authority::GroupRecord& aRecord,
@@ -184,6 +196,8 @@
   DutyCandidacy candidacy_;
   ForgottenMembers forgotten_;
   DatabaseList databases_;
+  /** The groups that the configuration names. */
+  std::set<std::string> groups_;
   /**
    * The listed databases, and the last listings of primaries that are no
    * longer listed.
@@ -199,6 +213,8 @@
   /** By group: sends the members a written record with no change in progress.
    */
   std::map<std::string, Announcement> announcements_;
+  /** By group: the version of a row that can't be read. */
+  std::map<std::string, std::uint64_t> unreadable_;
   std::uint64_t appliedVersion_ = 0;
   std::uint64_t newestRecord_ = 0;
   /** When this node stops, it releases the duty by then at the latest. */
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -51,7 +51,8 @@
 
   /** Starts a snapshot of all members; Apply must follow for each row. */
   void BeginReload() { roster_.Clear(); }
-  void Apply(const Authority::StoredRow& aRow);
+  /** Returns false if the row can't be read; a known member stays as it is. */
+  bool Apply(const Authority::StoredRow& aRow);
   /**
    * Checks this process's own row after rows have been applied, and registers
    * again if it was expelled or removed.
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -139,6 +139,8 @@
    * be written again.
    */
   void NoteForgottenRecords(std::uint64_t aVersion);
+  /** A group's row holds something that can't be read. */
+  void NoteOverwrittenRecord(const std::string& aGroup, std::uint64_t aVersion);
   void ApplyGroupRow(const Authority::StoredRow& aRow,
                      Core::Instant aRequestedAt);
   void Observe(const Authority::GroupRecord& aRecord,
--- a/Libraries/LibWire/Address.cpp
+++ b/Libraries/LibWire/Address.cpp
@@ -6,10 +6,20 @@
 
 namespace Wire {
 
+namespace {
+
+/** Reasons go to the log, whatever the length of the text. */
+constexpr std::size_t kMaxQuotedLength = 60;
+
+} // namespace
+
 std::optional<Address>
 Address::Parse(std::string_view aText, Core::LastReason& aReason)
 {
-  const std::string quoted = '"' + std::string(aText) + '"';
+  const bool isLong = aText.size() > kMaxQuotedLength;
+  const std::string quoted = '"' +
+                             std::string(aText.substr(0, kMaxQuotedLength)) +
+                             (isLong ? "...\"" : "\"");
   const std::size_t colon = aText.rfind(':');
   if (colon == std::string_view::npos)
     return aReason.Set(quoted + " has no port; write ip:port");
--- a/Libraries/LibWire/FieldReader.cpp
+++ b/Libraries/LibWire/FieldReader.cpp
@@ -87,6 +87,20 @@
   return number;
 }
 
+std::optional<double>
+FieldReader::OptionalNumber(std::string_view aKey)
+{
+  const boost::json::value* value = Find(aKey);
+  if (value == nullptr)
+    return std::nullopt;
+  boost::system::error_code error;
+  const auto number = value->to_number<double>(error);
+  if (!error)
+    return number;
+  Report(aKey, "must be a number");
+  return std::nullopt;
+}
+
 bool
 FieldReader::Boolean(std::string_view aKey, bool aDefault)
 {
--- a/Libraries/LibWire/include/LibWire/FieldReader.h
+++ b/Libraries/LibWire/include/LibWire/FieldReader.h
@@ -34,6 +34,8 @@
   std::optional<std::int64_t> OptionalInteger(std::string_view aKey,
                                               std::int64_t aMinimum,
                                               std::int64_t aMaximum);
+  /** A number of any kind; for fields of which only the type matters. */
+  std::optional<double> OptionalNumber(std::string_view aKey);
   bool Boolean(std::string_view aKey, bool aDefault);
   /** Returns nullptr if missing or, with a finding, not an array. */
   const boost::json::array* OptionalArray(std::string_view aKey);
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -106,7 +106,7 @@
       { dialer_, store_, promoter_, peerClient_, relayTable_, checkoutClient_ },
       metrics_,
       Core::LogChange)
-  , feeds_(aLoop, store_, node_)
+  , feeds_(aLoop, store_, node_, metrics_)
   , clientServer_(aLoop, node_)
   , peerServer_(aLoop, node_)
   , relayServer_(aLoop,
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -130,6 +130,11 @@
     });
   }
   std::uint64_t VersionOfMissingRow() const override { return 0; }
+  std::optional<std::uint64_t> VersionOfUnreadableRow(
+    const std::string&) const override
+  {
+    return unreadableVersion;
+  }
   void WriteRecord(const GroupRecord& aRecord,
                    std::function<void(Authority::WriteOutcome)> aDone) override
   {
@@ -170,6 +175,7 @@
   std::function<void()> onChange = [] {};
   bool promotionsSucceed = true;
   std::optional<GroupRecord> stored;
+  std::optional<std::uint64_t> unreadableVersion;
   std::uint64_t version = 10;
   std::vector<std::string> promoted;
   Core::Instant promotedAt{};
@@ -356,6 +362,23 @@
   BOOST_TEST(stored->term == 2U);
 }
 
+/**
+ * Another writer has overwritten the record, and no process knows it any more.
+ * A database that doesn't reply may be the one that it named.
+ */
+BOOST_AUTO_TEST_CASE(AnUnreadableRecordIsReplacedOnceAllDatabasesReply)
+{
+  unreadableVersion = 9;
+  members["c"].isReachable = false;
+  AdvanceBy(5s);
+  BOOST_TEST(!stored.has_value());
+  members["c"].isReachable = true;
+  AdvanceBy(2s);
+  BOOST_REQUIRE(stored.has_value());
+  BOOST_TEST(stored->primary == "a");
+  BOOST_TEST(stored->basis == 9U);
+}
+
 BOOST_AUTO_TEST_CASE(KeepsAHealthyPrimary)
 {
   Begin();
