--- a/Libraries/LibAuthority/RowFollower.cpp
+++ b/Libraries/LibAuthority/RowFollower.cpp
@@ -129,8 +129,8 @@
   if (conditions_.mustBePrompt())
     return timing_.pause;
   const Core::Instant now = scheduler_.Now();
-  const auto gained = std::max<Core::Duration::rep>(
-    (now - gainedAt_) / timing_.busyInterval, 0);
+  const auto gained =
+    std::max<Core::Duration::rep>((now - gainedAt_) / timing_.busyInterval, 0);
   gainedAt_ += gained * timing_.busyInterval;
   promptPolls_ = static_cast<int>(
     std::min<Core::Duration::rep>(promptPolls_ + gained, kMaxPromptPolls));
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -64,7 +64,6 @@
   , settings_(aSettings)
   , store_(aStore)
   , promoter_(aPromoter)
-  , peers_(aPeers)
   , membership_(aMembership)
   , onRecord_(std::move(aOnRecord))
   , log_(std::move(aLog))
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -184,7 +184,6 @@
   Settings settings_;
   Authority::CoordinationStore& store_;
   Promoter& promoter_;
-  PeerLink& peers_;
   Membership& membership_;
   RecordSink onRecord_;
   LogSink log_;
--- a/Tests/LibPooler/TestDutyCandidacy.cpp
+++ b/Tests/LibPooler/TestDutyCandidacy.cpp
@@ -40,6 +40,7 @@
 LargeFleet()
 {
   std::vector<Member> fleet;
+  fleet.reserve(295);
   for (int i = 0; i < 295; ++i)
     fleet.push_back(MakeMember(i, i % 16 == 5 ? kLarge : kSmall));
   return fleet;
