PeerServer: Refuse a record without a valid version

A record whose version was negative or no number was taken as one of version 0, though the message was answered with an error. Found by the table of odd messages between nodes, which failed at this case first. Such a record is left out. TestPeerMessages covers the message that carries several records, the one of earlier releases, odd bodies (nested 100,000 deep, large numbers, other types) and 500 random changes of a body.

--- a/Libraries/LibPeers/RecordJson.h
+++ b/Libraries/LibPeers/RecordJson.h
@@ -23,15 +23,17 @@
 {
   const std::string group = aReader.String("group");
   const std::string text = aReader.String("record");
-  const auto version =
-    aReader.Integer("version", 0, std::numeric_limits<std::int64_t>::max());
+  const auto version = aReader.OptionalInteger(
+    "version", 0, std::numeric_limits<std::int64_t>::max());
   Core::LastReason reason;
   auto record = Authority::GroupRecord::Parse(group, text, reason);
-  if (!record) {
+  if (!record)
     aReader.FindingsOf().Add(aReader.Place() + "/record", reason.Text());
+  if (!version)
+    aReader.FindingsOf().Add(aReader.Place() + "/version", "must be known");
+  if (!record || !version)
     return std::nullopt;
-  }
-  record->version = static_cast<std::uint64_t>(version);
+  record->version = static_cast<std::uint64_t>(*version);
   return record;
 }
 
