--- a/review/standins/Link.cpp
+++ b/review/standins/Link.cpp
@@ -125,4 +125,12 @@
     path->SetCut(aIsCut);
 }
 
+void
+Link::SilenceOpenConnections()
+{
+  for (const auto& path : paths_)
+    path->SetCut(true);
+  silenced_.merge(paths_);
+}
+
 } // namespace Review
--- a/review/standins/Link.h
+++ b/review/standins/Link.h
@@ -24,6 +24,8 @@
 
   const Wire::Address& ListenAddress() const { return listenAddress_; }
   void SetCut(bool aIsCut);
+  /** The connections that are open now stay silent for good; new ones work. */
+  void SilenceOpenConnections();
 
 private:
   class Path;
@@ -35,6 +37,7 @@
   Wire::Address listenAddress_;
   bool isCut_ = false;
   std::set<std::shared_ptr<Path>> paths_;
+  std::set<std::shared_ptr<Path>> silenced_;
 };
 
 } // namespace Review
--- a/review/standins/OwnerHandover.cpp
+++ b/review/standins/OwnerHandover.cpp
@@ -17,6 +17,9 @@
 /** The share of the connections that nodes use (see mastichold-node). */
 constexpr double kUsableShare = 0.7;
 constexpr int kNodes = 4;
+/** As those of the route "judge-sheets". */
+constexpr int kTimeoutMilliseconds = 3000;
+constexpr int kTargetMilliseconds = 800;
 constexpr int kTransactionClients = 8;
 constexpr int kPlainClients = 2;
 constexpr Core::Duration kAnswerDelay = 10ms;
@@ -186,7 +189,10 @@
 {
   World world(aOptions, kAnswerDelay);
   ValuesCheck check(world);
-  world.Configure(kMaxConnections);
+  world.Configure(
+    kMaxConnections,
+    1,
+    { { kRouteHost, kService, kTimeoutMilliseconds, kTargetMilliseconds } });
   const Names names = ChooseNames();
   const auto start = [&world](const std::string& aName) {
     const Wire::Address store = world.platform.OpenView();
--- a/review/standins/World.h
+++ b/review/standins/World.h
@@ -40,8 +40,19 @@
 inline constexpr const char* kRouteHost = "entries";
 /** The service, which is a group of three databases. */
 inline constexpr const char* kService = "festival";
+/** A second service, which routes may name. */
+inline constexpr const char* kOtherService = "autumn";
 
-/** A small deployment: the platform, one group of databases and the nodes. */
+/** A route of the kind "leader". */
+struct RouteTo
+{
+  std::string host;
+  std::string service;
+  int timeoutMs = 1000;
+  int targetLatencyMs = 200;
+};
+
+/** A small deployment: the platform, two groups of databases and the nodes. */
 class World
 {
 public:
@@ -51,8 +62,10 @@
   World(const World&) = delete;
   World& operator=(const World&) = delete;
 
-  /** Writes a configuration with one route of the kind "leader". */
-  void Configure(int aMaxConnections);
+  void Configure(int aMaxConnections,
+                 int aVersion = 1,
+                 const std::vector<RouteTo>& aRoutes = {
+                   { kRouteHost, kService } });
   /** Starts a process; aStore and aPromotions are its platform's addresses. */
   Node& StartNode(const std::string& aName,
                   const std::string& aZone,
@@ -67,8 +80,10 @@
   /** Runs one statement in a session of its own. */
   Reply Query(Node& aNode,
               const std::string& aRequestId,
-              const std::string& aText);
+              const std::string& aText,
+              const std::string& aHost = kRouteHost);
 
+  /** The primary of the first service. */
   Database& Primary();
   const Options& GetOptions() const { return options_; }
   /** True if a node has ended by itself. */
@@ -82,12 +97,15 @@
   std::vector<std::unique_ptr<Node>> nodes;
 
 private:
-  void AddDatabases(Core::Duration aDelay);
+  void AddDatabases(const std::string& aService,
+                    const std::vector<std::string>& aIds,
+                    Core::Duration aDelay);
   void WriteDatabaseRows();
 
   Options options_;
   std::vector<Wire::Address> databaseAddresses_;
   std::vector<std::string> databaseIds_;
+  std::vector<std::string> databaseServices_;
   int beats_ = 0;
   Core::TimerHandle beat_;
 };
@@ -96,6 +114,11 @@
 Outcome
 PlayPooledTransaction(const Options& aOptions);
 
+/** Configurations don't reach nodes whose connections to the store are silent.
+ */
+Outcome
+PlaySilentConnections(const Options& aOptions);
+
 /** Session values pass from one client to another. */
 Outcome
 PlayOwnerHandover(const Options& aOptions);
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -13,7 +13,8 @@
   using namespace Review;
   const std::map<std::string, std::function<Outcome(const Options&)>> scenarios{
     { "pooled-transaction", PlayPooledTransaction },
-    { "owner-handover", PlayOwnerHandover }
+    { "owner-handover", PlayOwnerHandover },
+    { "silent-connections", PlaySilentConnections }
   };
   const auto scenario =
     aCount == 6 ? scenarios.find(aValues[1]) : scenarios.end();
