LibPooler: Let a connection know itself whether it may be reused

Cause: each caller of ConnectionPool::Release said whether the connection was clean. StatementRun said so of a fenced read's connection whose authority had ended between BEGIN and the read. The next write ran inside that transaction and was rolled back when the connection was closed.

TestClientSession/AFencedReadThatIsNotSentLeavesNoTransactionOpen failed before (the database ran BEGIN, then the write, no rollback). Ruled out: a promotion (one primary all the time), a connection dropped by the database.

Change: PooledConnection follows the commands sent on it and their replies. Users release or discard it, and can't state that it is clean; the pool rolls back an open transaction first, and closes a connection with an outstanding or failed reply. An owner does the same for what it has lent, whatever the borrower reports. A success also needs the transaction state that the statement must leave, so a write run in a foreign transaction is in doubt. TestConnectionPool and TestClientSession have tables for both.

Why it works: a statement is handed a connection only if the last reply on it reported no transaction and no reply is outstanding, at every hop.

--- a/Libraries/LibPooler/CheckoutSession.cpp
+++ b/Libraries/LibPooler/CheckoutSession.cpp
@@ -32,7 +32,7 @@
     return;
   pool_->Cancel(ticket_);
   if (connection_ != nullptr)
-    pool_->Release(connection_, false);
+    pool_->Discard(connection_);
 }
 
 void
@@ -88,7 +88,7 @@
   }
   batch_ =
     SendBatch(scheduler_,
-              *connection_->link,
+              *connection_,
               commands,
               kPreparationTimeout,
               [this, count = commands.size()](const BatchResult& aResult) {
@@ -120,7 +120,7 @@
 CheckoutSession::Refuse(CheckoutRefusal aRefusal)
 {
   waitingTimer_.reset();
-  ReturnConnection(false);
+  EndCheckout(false);
   port_.SendRefusal(aRefusal);
 }
 
@@ -129,7 +129,7 @@
 {
   reclaimTimer_ = scheduler_.After(aLimit, [this] {
     // The borrower was stopped or cut off, but the channel may appear open.
-    ReturnConnection(false);
+    EndCheckout(false);
     port_.Close();
   });
 }
@@ -142,11 +142,10 @@
     return;
   }
   ReclaimAfter(host_.CheckoutResponseTimeout());
-  ++outstanding_;
   const bool isClientStatement =
     aCommand.kind == Sql::CommandKind::ClientStatement ||
     aCommand.kind == Sql::CommandKind::ClientExecute;
-  connection_->link->Send(
+  connection_->Send(
     aCommand,
     [this, alive = alive_, isClientStatement, sentAt = scheduler_.Now()](
       const Sql::DatabaseReply& aReply) {
@@ -163,10 +162,9 @@
 {
   if (!isGranted_)
     return;
-  --outstanding_;
   if (aReply.position)
     pool_->RecordPosition(*aReply.position);
-  if (outstanding_ == 0)
+  if (!connection_->AwaitsReply())
     ReclaimAfter(host_.CheckoutIdleTimeout());
   port_.SendReply(aReply);
 }
@@ -180,20 +178,23 @@
   }
   if (aReturn.isChanged)
     connection_->state.Forget();
-  ReturnConnection(aReturn.isClean && outstanding_ == 0);
+  EndCheckout(aReturn.isClean);
 }
 
 void
-CheckoutSession::ReturnConnection(bool aIsClean)
+CheckoutSession::EndCheckout(bool aIsReusable)
 {
   batch_.reset();
   reclaimTimer_.reset();
   isGranted_ = false;
-  outstanding_ = 0;
   const auto pool = std::exchange(pool_, nullptr);
   const auto connection = std::exchange(connection_, nullptr);
-  if (connection != nullptr)
-    pool->Release(connection, aIsClean);
+  if (connection == nullptr)
+    return;
+  if (aIsReusable)
+    pool->Release(connection);
+  else
+    pool->Discard(connection);
 }
 
 } // namespace Pooler
--- a/Libraries/LibPooler/ClientSession.cpp
+++ b/Libraries/LibPooler/ClientSession.cpp
@@ -191,7 +191,7 @@
   if (!transaction_)
     return;
   if (transaction_->connection != nullptr)
-    transaction_->pool->RollBackAndRelease(transaction_->connection);
+    transaction_->pool->Release(transaction_->connection);
   transaction_.reset();
 }
 
--- a/Libraries/LibPooler/ConnectionPool.cpp
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -31,20 +31,11 @@
 /** A rollback takes one round trip; on a timeout the connection is closed. */
 constexpr Core::Duration kRollbackTimeout = std::chrono::milliseconds(300);
 
-/** A connection idle for longer is validated before it carries a write. */
-constexpr Core::Duration kValidateAfterIdle = std::chrono::milliseconds(1000);
-
 /** How long a database is avoided after a failure. */
 constexpr Core::Duration kSuspectInterval = std::chrono::milliseconds(1500);
 
 } // namespace
 
-bool
-PooledConnection::NeedsValidation(Core::Instant aNow) const
-{
-  return aNow - idleSince > kValidateAfterIdle;
-}
-
 ConnectionPool::ConnectionPool(Core::Scheduler& aScheduler,
                                Sql::DatabaseDialer& aDialer,
                                Database aDatabase,
@@ -165,7 +156,7 @@
     },
     [weak = std::weak_ptr(connection)] {
       if (const auto lost = weak.lock())
-        lost->isLost = true;
+        lost->MarkLost();
     });
   checkouts_.emplace(
     aTicket,
@@ -199,9 +190,7 @@
     sampleSink_(aOutcome.requestedAt - sample->age, sample->position);
   if (aOutcome.grant.position)
     RecordPosition(*aOutcome.grant.position);
-  aConnection->link = aOutcome.link;
-  aConnection->checkedOut = std::move(aOutcome.link);
-  aConnection->idleSince = scheduler_.Now();
+  aConnection->OpenCheckedOut(std::move(aOutcome.link), scheduler_.Now());
   aConnection->state.Adopt(waiter.requirements.values,
                            waiter.requirements.preparedText
                              ? &*waiter.requirements.preparedText
@@ -264,7 +253,7 @@
         const auto lost = weak.lock();
         if (!lost || !*alive)
           return;
-        lost->isLost = true;
+        lost->MarkLost();
         idle_.remove(lost);
         RecordFailure();
       });
@@ -280,8 +269,7 @@
     failedDials_ = 0;
     if (aOutcome.position)
       RecordPosition(*aOutcome.position);
-    aConnection->link = std::move(aOutcome.link);
-    aConnection->idleSince = scheduler_.Now();
+    aConnection->Open(std::move(aOutcome.link), scheduler_.Now());
     idle_.push_front(aConnection);
     Serve();
     return;
@@ -322,21 +310,38 @@
 }
 
 void
-ConnectionPool::Release(const PooledConnectionHandle& aConnection,
-                        bool aIsClean)
+ConnectionPool::Release(const PooledConnectionHandle& aConnection)
+{
+  if (!aConnection->NeedsRollback()) {
+    TakeBack(aConnection, true);
+    return;
+  }
+  RunAndRelease(aConnection,
+                { .kind = Sql::CommandKind::Rollback },
+                kRollbackTimeout,
+                [](const Sql::DatabaseReply&) {});
+}
+
+void
+ConnectionPool::Discard(const PooledConnectionHandle& aConnection)
+{
+  TakeBack(aConnection, false);
+}
+
+void
+ConnectionPool::TakeBack(const PooledConnectionHandle& aConnection,
+                         bool aIsReusable)
 {
   --inUse_;
-  const bool isClean = aIsClean && !aConnection->isLost;
-  if (const auto checkedOut = std::exchange(aConnection->checkedOut, nullptr)) {
-    checkedOut->Return({ isClean, aConnection->state.IsChanged() });
-    aConnection->link.reset();
+  if (aConnection->IsCheckedOut()) {
+    aConnection->Close(aIsReusable);
     return;
   }
-  if (isClean && !isRetired_ && Open() < limit_) {
-    aConnection->idleSince = scheduler_.Now();
+  if (aIsReusable && aConnection->IsClean() && !isRetired_ && Open() < limit_) {
+    aConnection->BeginIdle(scheduler_.Now());
     idle_.push_front(aConnection);
   } else {
-    aConnection->link.reset();
+    aConnection->Close(false);
   }
   Serve();
 }
@@ -354,23 +359,13 @@
                        done = std::move(aDone)](Sql::DatabaseReply aReply) {
     if (std::exchange(*isDone, true) || !*alive)
       return;
-    Release(aConnection,
-            aReply.isComplete && aReply.state == Sql::TransactionState::Idle);
+    TakeBack(aConnection, true);
     done(std::move(aReply));
   };
-  aConnection->link->Send(aCommand, finish);
+  aConnection->Send(aCommand, finish);
   scheduler_.DeferFor(aTimeout, [finish] { finish({}); });
 }
 
-void
-ConnectionPool::RollBackAndRelease(const PooledConnectionHandle& aConnection)
-{
-  RunAndRelease(aConnection,
-                { .kind = Sql::CommandKind::Rollback },
-                kRollbackTimeout,
-                [](const Sql::DatabaseReply&) {});
-}
-
 void
 ConnectionPool::Retire()
 {
@@ -383,7 +378,7 @@
 ConnectionPool::CloseIdleConnections()
 {
   const Core::Instant limit = scheduler_.Now() - kIdleLimit;
-  while (idle_.size() > 1 && idle_.back()->idleSince < limit)
+  while (idle_.size() > 1 && idle_.back()->IdleSince() < limit)
     idle_.pop_back();
 }
 
--- a/Libraries/LibPooler/SampleRefresher.cpp
+++ b/Libraries/LibPooler/SampleRefresher.cpp
@@ -79,7 +79,7 @@
       }
       pendingGroups_.erase(aRouter.Name());
       if (aConnection != nullptr)
-        choice.pool->Release(aConnection, true);
+        choice.pool->Release(aConnection);
     });
 }
 
--- a/Libraries/LibPooler/SentStatement.cpp
+++ b/Libraries/LibPooler/SentStatement.cpp
@@ -19,15 +19,16 @@
                     const Sql::DatabaseCommand& aCommand,
                     Handler aHandler)
 {
-  const std::shared_ptr<Sql::DatabaseLink> link = aConnection->link;
+  const PooledConnectionHandle connection = aConnection;
   std::shared_ptr<SentStatement> sent(new SentStatement(
     std::move(aPool), std::move(aConnection), std::move(aHandler)));
-  // A weak pointer avoids a cycle: the link owns this callback, and the
-  // statement owns the connection with its link.
-  link->Send(aCommand, [weak = std::weak_ptr(sent)](Sql::DatabaseReply aReply) {
-    if (const auto live = weak.lock())
-      live->OnReply(std::move(aReply));
-  });
+  // A weak pointer avoids a cycle: the connection's link owns this callback,
+  // and the statement owns the connection.
+  connection->Send(aCommand,
+                   [weak = std::weak_ptr(sent)](Sql::DatabaseReply aReply) {
+                     if (const auto live = weak.lock())
+                       live->OnReply(std::move(aReply));
+                   });
   return sent;
 }
 
@@ -36,9 +37,7 @@
 {
   isFinished_ = true;
   if (isDetached_)
-    pool_->Release(connection_,
-                   aReply.isComplete &&
-                     aReply.state == Sql::TransactionState::Idle);
+    pool_->Release(connection_);
   handler_(std::move(aReply), isDetached_);
 }
 
@@ -48,7 +47,7 @@
   isDetached_ = true;
   aScheduler.DeferFor(aLimit, [self = shared_from_this()] {
     if (!std::exchange(self->isFinished_, true))
-      self->pool_->Release(self->connection_, false);
+      self->pool_->Discard(self->connection_);
   });
 }
 
--- a/Libraries/LibPooler/StatementRun.cpp
+++ b/Libraries/LibPooler/StatementRun.cpp
@@ -77,6 +77,14 @@
          choice_.needsFencedRead && !profile_.IsWrite();
 }
 
+Sql::TransactionState
+StatementRun::ExpectedState() const
+{
+  const bool staysOpen = profile_.IsInTransaction() && !profile_.IsCommit();
+  return staysOpen || IsFencedRead() ? Sql::TransactionState::Open
+                                     : Sql::TransactionState::Idle;
+}
+
 bool
 StatementRun::MustBegin() const
 {
@@ -195,7 +203,7 @@
   }
   preparation_ =
     SendBatch(scheduler_,
-              *connection_->link,
+              *connection_,
               commands,
               kPreparationTimeout,
               [this, count = commands.size()](const BatchResult& aResult) {
@@ -274,9 +282,7 @@
   sentAt_ = scheduler_.Now();
   result_.wasSent = true;
   result_.database = choice_.pool->Info().id;
-  result_.owner = connection_->checkedOut != nullptr
-                    ? connection_->checkedOut->Owner()
-                    : std::string();
+  result_.owner = connection_->Owner();
   result_.ranAtReplica = !choice_.isPrimary;
   Sql::DatabaseCommand command;
   command.requestId = statement_.requestId;
@@ -342,7 +348,7 @@
 void
 StatementRun::OnDetachedReply(Sql::DatabaseReply aReply)
 {
-  if (!aReply.IsSuccess())
+  if (!aReply.IsSuccess() || aReply.state != ExpectedState())
     return;
   // The first database replied before the hedge did.
   if (phase_ == Phase::Sent && connection_ != nullptr)
@@ -387,6 +393,12 @@
     OnError(aReply);
     return;
   }
+  if (aReply.state != ExpectedState()) {
+    // It ran inside a transaction that isn't its own, or outside its own. A
+    // write that is acknowledged now might be rolled back.
+    OnConnectionLost();
+    return;
+  }
   if (choice_.isPrimary && aReply.position &&
       aReply.position->term > choice_.term && !MayChangeData(Facts())) {
     // It already follows another primary, so its data may be stale.
@@ -401,7 +413,7 @@
 StatementRun::OnFormerPrimary()
 {
   if (profile_.IsInTransaction()) {
-    RollBack();
+    ReleaseConnection();
     Fail(Sql::ErrorCode::RolledBack, "the primary has been replaced");
     return;
   }
@@ -420,7 +432,7 @@
   const bool mayChangeData = MayChangeData(Facts());
   if (mayChangeData && !HasAuthority()) {
     // Another database may have been promoted without this write.
-    ReturnConnection(true);
+    ReleaseConnection();
     Fail(Sql::ErrorCode::InDoubt, "the primary may have been replaced");
     return;
   }
@@ -428,13 +440,8 @@
     result_.written = aReply.position;
   result_.rows = std::move(aReply.rows);
   result_.signature = std::move(aReply.signature);
-  const auto expected = profile_.IsInTransaction() && !endsTransaction
-                          ? Sql::TransactionState::Open
-                          : Sql::TransactionState::Idle;
-  if (IsFencedRead())
-    choice_.pool->RollBackAndRelease(std::exchange(connection_, nullptr));
-  else if (!profile_.IsInTransaction() || endsTransaction)
-    ReturnConnection(aReply.state == expected);
+  if (!profile_.IsInTransaction() || endsTransaction)
+    ReleaseConnection();
   Finish();
 }
 
@@ -451,8 +458,7 @@
   const Reaction reaction = result_.attempts < kMaxAttempts
                               ? ReactionTo(code, Facts())
                               : Reaction::Report;
-  ReturnConnection(aReply.state == Sql::TransactionState::Idle &&
-                   code != Sql::ErrorCode::NoStatement);
+  ReleaseConnection();
   switch (reaction) {
     case Reaction::Report:
       result_.error = aReply.error;
@@ -483,18 +489,10 @@
   }
   const Sql::ErrorCode reportedCode =
     ErrorOnFailedTransaction(Facts(), error.code);
-  RollBack();
+  ReleaseConnection();
   Fail(reportedCode, error.text);
 }
 
-void
-StatementRun::RollBack()
-{
-  const PooledConnectionHandle connection = std::exchange(connection_, nullptr);
-  context_.transaction->connection = nullptr;
-  choice_.pool->RollBackAndRelease(connection);
-}
-
 void
 StatementRun::OnConnectionLost()
 {
@@ -517,8 +515,7 @@
 {
   if (aExclude && choice_.pool != nullptr)
     requirements_.excluded.insert(choice_.pool->Info().id);
-  if (connection_ != nullptr)
-    ReturnConnection(true);
+  ReleaseConnection();
   phase_ = Phase::AwaitingChoice;
   if (result_.attempts >= kMaxAttempts && !requirements_.needsPrimary)
     requirements_.needsPrimary = true;
@@ -545,30 +542,32 @@
                      : "the statement's time is over");
 }
 
+PooledConnectionHandle
+StatementRun::TakeConnection()
+{
+  if (connection_ != nullptr && profile_.IsInTransaction())
+    context_.transaction->connection = nullptr;
+  return std::exchange(connection_, nullptr);
+}
+
 void
-StatementRun::DropConnection()
+StatementRun::ReleaseConnection()
 {
-  if (connection_ == nullptr)
-    return;
-  ReturnConnection(false);
+  if (const PooledConnectionHandle connection = TakeConnection())
+    choice_.pool->Release(connection);
 }
 
 void
-StatementRun::ReturnConnection(bool aIsClean)
+StatementRun::DropConnection()
 {
-  const PooledConnectionHandle connection = std::exchange(connection_, nullptr);
-  if (connection == nullptr)
-    return;
-  if (profile_.IsInTransaction())
-    context_.transaction->connection = nullptr;
-  choice_.pool->Release(connection, aIsClean);
+  if (const PooledConnectionHandle connection = TakeConnection())
+    choice_.pool->Discard(connection);
 }
 
 void
 StatementRun::Fail(Sql::ErrorCode aCode, std::string aText)
 {
-  if (connection_ != nullptr)
-    DropConnection();
+  DropConnection();
   result_.error = Sql::Error{ aCode, std::move(aText) };
   Finish();
 }
--- a/Libraries/LibPooler/include/LibPooler/Checkout.h
+++ b/Libraries/LibPooler/include/LibPooler/Checkout.h
@@ -73,10 +73,13 @@
     { CheckoutRefusal::Unreachable, "unreachable" } },
 } };
 
-/** Ends a checkout. */
+/** Ends a checkout. The owner follows the connection's state itself. */
 struct CheckoutReturn
 {
-  /** No transaction is open and no reply is outstanding. */
+  /**
+   * No transaction is open and no reply is outstanding. The owner closes the
+   * connection otherwise.
+   */
   bool isClean = false;
   /** Session values or prepared statements were added during the checkout. */
   bool isChanged = false;
--- a/Libraries/LibPooler/include/LibPooler/CheckoutSession.h
+++ b/Libraries/LibPooler/include/LibPooler/CheckoutSession.h
@@ -55,7 +55,8 @@
   void Grant();
   void Refuse(CheckoutRefusal aRefusal);
   void OnReply(const Sql::DatabaseReply& aReply);
-  void ReturnConnection(bool aIsClean);
+  /** Gives the connection back to the pool; closes it unless aIsReusable. */
+  void EndCheckout(bool aIsReusable);
   /** Closes connection and channel after aLimit; replaces an earlier limit. */
   void ReclaimAfter(Core::Duration aLimit);
 
@@ -68,7 +69,6 @@
   std::uint64_t ticket_ = 0;
   PooledConnectionHandle connection_;
   bool isGranted_ = false;
-  int outstanding_ = 0;
   std::shared_ptr<void> batch_;
   Core::TimerHandle waitingTimer_;
   Core::TimerHandle reclaimTimer_;
--- a/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
+++ b/Libraries/LibPooler/include/LibPooler/ConnectionPool.h
@@ -2,8 +2,8 @@
 
 #include <LibCore/Scheduler.h>
 #include <LibPooler/Fleet.h>
+#include <LibPooler/PooledConnection.h>
 #include <LibPooler/RemotePools.h>
-#include <LibPooler/SessionValues.h>
 #include <LibSql/DatabaseLink.h>
 
 #include <functional>
@@ -14,24 +14,6 @@
 
 namespace Pooler {
 
-/** An open connection to a database, used by one statement run at a time. */
-struct PooledConnection
-{
-  std::shared_ptr<Sql::DatabaseLink> link;
-  ConnectionState state;
-  Core::Instant idleSince{};
-  bool isLost = false;
-  /**
-   * The same object as the link if the connection is checked out from another
-   * node; null if this node opened it.
-   */
-  std::shared_ptr<CheckedOutLink> checkedOut;
-
-  /** Returns true if it was idle too long to carry a write unvalidated. */
-  bool NeedsValidation(Core::Instant aNow) const;
-};
-using PooledConnectionHandle = std::shared_ptr<PooledConnection>;
-
 /** What the caller of Acquire requires of a connection. */
 struct ConnectionRequirements
 {
@@ -109,9 +91,12 @@
 
   /**
    * Returns a connection to the pool, or to the node that it was checked out
-   * from. A connection that isn't clean (see CheckoutReturn) is closed.
+   * from. A transaction that is open on it is rolled back first. A connection
+   * that still awaits a reply, or has failed, is closed.
    */
-  void Release(const PooledConnectionHandle& aConnection, bool aIsClean);
+  void Release(const PooledConnectionHandle& aConnection);
+  /** Closes a connection, so that the database rolls back. */
+  void Discard(const PooledConnectionHandle& aConnection);
 
   /**
    * Runs a command of this node (not of a client) on a connection, then
@@ -123,9 +108,6 @@
                      Core::Duration aTimeout,
                      Sql::ReplyHandler aDone);
 
-  /** Rolls back the open transaction of a connection, then releases it. */
-  void RollBackAndRelease(const PooledConnectionHandle& aConnection);
-
   /** Fails all waiters. The pool opens no more connections. */
   void Retire();
 
@@ -198,6 +180,8 @@
    */
   Waiters::iterator NextWaiter();
   PooledConnectionHandle TakeIdle(const Values& aValues);
+  /** Ends the use of a connection: keeps it for reuse, or closes it. */
+  void TakeBack(const PooledConnectionHandle& aConnection, bool aIsReusable);
   void Serve();
   void DialIfNeeded();
   void OnDialled(Sql::DialOutcome aOutcome,
--- a/Libraries/LibPooler/include/LibPooler/StatementRun.h
+++ b/Libraries/LibPooler/include/LibPooler/StatementRun.h
@@ -85,6 +85,8 @@
    */
   bool IsFencedRead() const;
   StatementFacts Facts() const { return profile_.Facts(phase_ == Phase::Sent); }
+  /** The transaction state after the statement has succeeded. */
+  Sql::TransactionState ExpectedState() const;
   /** True if a transaction must be opened before the statement is sent. */
   bool MustBegin() const;
 
@@ -117,7 +119,6 @@
   /** Handles a reply of a database that already follows another primary. */
   void OnFormerPrimary();
   void OnErrorInTransaction(const Sql::DatabaseReply& aReply);
-  void RollBack();
   void RecordReply(const Sql::DatabaseReply& aReply);
   /**
    * Returns the connection and chooses again after aDelay, without the current
@@ -127,9 +128,12 @@
   void OnTimeout();
   /** Fails a statement that hasn't been sent in time to run it. */
   void OnWaitLimitReached();
+  /** Ends the run's, and the transaction's, use of the connection. */
+  PooledConnectionHandle TakeConnection();
+  /** Returns the connection, if there is one, to the pool. */
+  void ReleaseConnection();
   /** Closes the connection rather than returning it to the pool for reuse. */
   void DropConnection();
-  void ReturnConnection(bool aIsClean);
   void Fail(Sql::ErrorCode aCode, std::string aText);
   /** Copies the facts behind the routing into the result, for logging. */
   void RecordRoutingInputs();
--- a/Tests/LibPooler/FakeDatabases.cpp
+++ b/Tests/LibPooler/FakeDatabases.cpp
@@ -182,7 +182,10 @@
                      std::to_string(database_.position) };
     }
     TrackTransaction(aCommand);
-    return Complete(std::move(reply));
+    reply = Complete(std::move(reply));
+    if (aIsClientStatement)
+      reply.state = database_.reportedState.value_or(reply.state);
+    return reply;
   }
 
   void TrackTransaction(const Sql::DatabaseCommand& aCommand)
--- a/Tests/LibPooler/FakeDatabases.h
+++ b/Tests/LibPooler/FakeDatabases.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
   int repliesToLose = 0;
   /** The next so many client statements fail with Busy. */
   int busyReplies = 0;
+  /** What successful client statements report instead of the true state. */
+  std::optional<Sql::TransactionState> reportedState;
   /** Connections beyond this are refused. */
   int maxConnections = 100;
   int connections = 0;
--- a/Tests/LibPooler/PoolFixture.h
+++ b/Tests/LibPooler/PoolFixture.h
@@ -56,12 +56,15 @@
           held.push_back(std::move(aConnection));
       });
   }
-  /** Releases the connection that has been held longest. */
+  /** Releases, or else discards, the connection that was held longest. */
   void ReturnConnection(Pooler::ConnectionPool& aPool, bool aIsClean)
   {
     const Pooler::PooledConnectionHandle connection = held.front();
     held.erase(held.begin());
-    aPool.Release(connection, aIsClean);
+    if (aIsClean)
+      aPool.Release(connection);
+    else
+      aPool.Discard(connection);
   }
 
   Simulation::VirtualTime time;
--- a/Tests/LibPooler/TestCheckout.cpp
+++ b/Tests/LibPooler/TestCheckout.cpp
@@ -72,7 +72,7 @@
     command.kind = Sql::CommandKind::ClientStatement;
     command.requestId = aRequest;
     command.text = "FETCH 1";
-    held.front()->link->Send(command, [this](Sql::DatabaseReply aReply) {
+    held.front()->Send(command, [this](Sql::DatabaseReply aReply) {
       replies.push_back(std::move(aReply));
     });
   }
@@ -153,7 +153,7 @@
   AdvanceBy(50ms);
   const std::string preparedText = "FETCH $1";
   const auto commands = held.front()->state.Prepare({}, &preparedText);
-  held.front()->link->Send(commands.front(), [](const auto&) {});
+  held.front()->Send(commands.front(), [](const auto&) {});
   AdvanceBy(50ms);
   ReturnConnection();
   RequestConnection("b");
@@ -165,8 +165,7 @@
 {
   RequestConnection("a");
   AdvanceBy(50ms);
-  held.front()->link->Send({ .kind = Sql::CommandKind::Begin },
-                           [](const auto&) {});
+  held.front()->Send({ .kind = Sql::CommandKind::Begin }, [](const auto&) {});
   AdvanceBy(50ms);
   BOOST_TEST(databases.At("p").connections == 1);
   ReturnConnection(false);
@@ -257,7 +256,7 @@
   AdvanceBy(50ms);
   BOOST_REQUIRE(replies.size() == 1U);
   BOOST_TEST(!replies.front().isComplete);
-  BOOST_TEST(held.front()->isLost);
+  BOOST_TEST(held.front()->IsLost());
   ReturnConnection(false);
   RequestConnection("b");
   AdvanceBy(50ms);
@@ -272,7 +271,7 @@
   BOOST_TEST(PoolAt("near").InUse() == 1);
   AdvanceBy(1s);
   BOOST_TEST(PoolAt("near").InUse() == 0);
-  BOOST_TEST(held.front()->isLost);
+  BOOST_TEST(held.front()->IsLost());
 }
 
 BOOST_AUTO_TEST_CASE(CheckoutWithoutReplyIsReclaimed)
@@ -366,7 +365,7 @@
             return;
           time.DeferFor(10ms, [&own, &inTime, due, aConnection, this] {
             inTime += time.Now() <= due ? 1 : 0;
-            own.Release(aConnection, true);
+            own.Release(aConnection);
           });
         });
       AdvanceBy(10ms);
--- a/Tests/LibPooler/TestClientSession.cpp
+++ b/Tests/LibPooler/TestClientSession.cpp
@@ -42,6 +42,20 @@
     ErrorCode::InDoubt },
 };
 
+/** Statements outside a transaction that report an open one. */
+const LossCase kForeignTransactions[] = {
+  { "a read is not answered",
+    "strong",
+    StatementKind::Read,
+    "FETCH 1",
+    ErrorCode::Busy },
+  { "a write is in doubt",
+    "strong",
+    StatementKind::Write,
+    "STORE 1 x",
+    ErrorCode::InDoubt },
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(Sessions, SessionFixture)
@@ -87,6 +101,19 @@
   BOOST_CHECK(reply.error == sample.expected);
 }
 
+/**
+ * Guards against acknowledged writes that are rolled back with a transaction
+ * that the client doesn't know of.
+ */
+BOOST_DATA_TEST_CASE_F(SessionFixture,
+                       IsNotAcknowledgedInsideAForeignTransaction,
+                       data::make(kForeignTransactions))
+{
+  databases.At("p").reportedState = Sql::TransactionState::Open;
+  const Reply reply = Run(Open(sample.route), sample.kind, sample.text, 3s);
+  BOOST_CHECK(reply.error == sample.expected);
+}
+
 BOOST_AUTO_TEST_CASE(ABusyDatabaseIsRetried)
 {
   databases.At("p").busyReplies = 2;
@@ -165,6 +192,31 @@
              boost::test_tools::per_element());
 }
 
+/**
+ * Guards against acknowledged writes that are lost. The authority ends while a
+ * fenced read opens its transaction, so the read isn't sent. The next statement
+ * on the connection must not run inside that transaction, which is rolled back.
+ */
+BOOST_AUTO_TEST_CASE(AFencedReadThatIsNotSentLeavesNoTransactionOpen)
+{
+  Run(Open("strong"), StatementKind::Read, "FETCH 1", 7499ms);
+  databases.At("p").ran.clear();
+  Send(Open("strong"), StatementKind::Read, "FETCH 2");
+  AdvanceBy(20ms);
+  BOOST_TEST(databases.At("p").HasRun("begin"));
+  BOOST_TEST(!databases.At("p").HasRun("r FETCH 2"));
+  sessions.clear();
+  Renew();
+  const Reply reply =
+    Run(Open("strong"), StatementKind::Write, "STORE 1 x", 100ms);
+  BOOST_TEST(!reply.error.has_value());
+  const std::vector<std::string> expected{
+    "discard", "begin", "rollback", "r STORE 1 x"
+  };
+  BOOST_TEST(databases.At("p").ran == expected,
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(ABoundedReadRunsAtAReplicaThatHoldsTheSample)
 {
   Run(Open("strong"), StatementKind::Read, "FETCH 1", 100ms);
--- a/Tests/LibPooler/TestConnectionPool.cpp
+++ b/Tests/LibPooler/TestConnectionPool.cpp
@@ -40,6 +40,54 @@
 
 const std::vector<std::string> kNoneServed;
 
+/** What happens on a connection before it is released. */
+struct ReleaseCase
+{
+  const char* name;
+  std::vector<Sql::CommandKind> commands;
+  Core::Duration wait;
+  bool isLost;
+  bool isRolledBack;
+  bool isReused;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const ReleaseCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+using Sql::CommandKind;
+
+const ReleaseCase kReleases[] = {
+  { "unused", {}, 10ms, false, false, true },
+  { "after a transaction",
+    { CommandKind::Begin, CommandKind::Rollback },
+    10ms,
+    false,
+    true,
+    true },
+  { "in a transaction", { CommandKind::Begin }, 10ms, false, true, true },
+  { "in a transaction that only reads",
+    { CommandKind::BeginReadOnly },
+    10ms,
+    false,
+    true,
+    true },
+  { "with a reply outstanding",
+    { CommandKind::Begin },
+    1ms,
+    false,
+    false,
+    false },
+  { "broken in a transaction",
+    { CommandKind::Begin },
+    10ms,
+    true,
+    false,
+    false },
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(Pool, Fixture)
@@ -77,6 +125,31 @@
   BOOST_TEST(databases.At("p").connections == 1);
 }
 
+/**
+ * Guards against a connection that is handed on in the middle of a
+ * transaction, whatever its last user says of it: a write of the next user
+ * would be acknowledged and then rolled back.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       ReleasedConnectionIsHandedOnOnlyIfClean,
+                       boost::unit_test::data::make(kReleases))
+{
+  RequestConnection("a", 200ms);
+  AdvanceBy(10ms);
+  for (const Sql::CommandKind kind : sample.commands)
+    held.front()->Send({ .kind = kind }, [](const auto&) {});
+  AdvanceBy(sample.wait);
+  if (sample.isLost)
+    databases.BreakConnections("p");
+  ReturnConnection();
+  RequestConnection("b", 200ms);
+  AdvanceBy(10ms);
+  BOOST_TEST(served.back() == "b");
+  BOOST_TEST(pool.Dials() == (sample.isReused ? 1U : 2U));
+  BOOST_TEST(databases.At("p").HasRun("rollback") == sample.isRolledBack);
+  BOOST_TEST(databases.At("p").connections == 1);
+}
+
 BOOST_AUTO_TEST_CASE(CancelledWaiterIsNotServed)
 {
   RequestConnection("a", 200ms);
@@ -163,7 +236,7 @@
         time.DeferFor(kWork, [&, due, aConnection] {
           pool.RecordLatency(kWork);
           ++(time.Now() <= due ? inTime : late);
-          pool.Release(aConnection, true);
+          pool.Release(aConnection);
         });
       });
     AdvanceBy(kInterval);
