LibPooler: Note state changes at each node that a connection passes

Cause: a former owner that passed a checkout on told the new owner only of the commands that it had built itself. The SET of the borrower's client went through it, the borrower told it so, and it told nobody.

Evidence: the record shows the first foreign value right after the owners change, and none before. TestCheckout/ValueSetThroughFormerOwnersIsCleared failed before for 0 to 3 nodes that pass the checkout on (the next client got the connection without DISCARD). Ruled out: mixed-up values at one node, a database that keeps values.

Change: PooledConnection marks its state changed by each SET, PARSE and DISCARD sent on it, and unknown if it relays one for another node. An owner no longer relies on the borrower's report, which is kept for owners of earlier releases.

Why it works: every command passes every node between the client and the database, so each node sees the change itself; no message has to carry it.

--- a/Libraries/LibPooler/CheckoutSession.cpp
+++ b/Libraries/LibPooler/CheckoutSession.cpp
@@ -145,7 +145,7 @@
   const bool isClientStatement =
     aCommand.kind == Sql::CommandKind::ClientStatement ||
     aCommand.kind == Sql::CommandKind::ClientExecute;
-  connection_->Send(
+  connection_->Relay(
     aCommand,
     [this, alive = alive_, isClientStatement, sentAt = scheduler_.Now()](
       const Sql::DatabaseReply& aReply) {
@@ -176,8 +176,6 @@
     port_.Close();
     return;
   }
-  if (aReturn.isChanged)
-    connection_->state.Forget();
   EndCheckout(aReturn.isClean);
 }
 
--- a/Libraries/LibPooler/PooledConnection.cpp
+++ b/Libraries/LibPooler/PooledConnection.cpp
@@ -9,14 +9,6 @@
 /** A connection idle for longer is validated before it carries a write. */
 constexpr Core::Duration kValidateAfterIdle = std::chrono::milliseconds(1000);
 
-/** True if a command changes session values or prepared statements. */
-bool
-ChangesState(Sql::CommandKind aKind)
-{
-  return aKind == Sql::CommandKind::Set || aKind == Sql::CommandKind::Prepare ||
-         aKind == Sql::CommandKind::DiscardAll;
-}
-
 } // namespace
 
 void
@@ -47,6 +39,8 @@
 PooledConnection::Send(const Sql::DatabaseCommand& aCommand,
                        Sql::ReplyHandler aHandler)
 {
+  if (ChangesState(aCommand.kind))
+    state.MarkChanged();
   ++pendingReplies_;
   // A weak pointer, as the connection owns the link, which owns the callback.
   link_->Send(aCommand,
@@ -59,6 +53,15 @@
               });
 }
 
+void
+PooledConnection::Relay(const Sql::DatabaseCommand& aCommand,
+                        Sql::ReplyHandler aHandler)
+{
+  if (ChangesState(aCommand.kind))
+    state.Forget();
+  Send(aCommand, std::move(aHandler));
+}
+
 void
 PooledConnection::OnReply(Sql::CommandKind aKind,
                           const Sql::DatabaseReply& aReply)
--- a/Libraries/LibPooler/SessionValues.cpp
+++ b/Libraries/LibPooler/SessionValues.cpp
@@ -11,6 +11,13 @@
 
 } // namespace
 
+bool
+ChangesState(Sql::CommandKind aKind)
+{
+  return aKind == Sql::CommandKind::Set || aKind == Sql::CommandKind::Prepare ||
+         aKind == Sql::CommandKind::DiscardAll;
+}
+
 bool
 ConnectionState::HasExtraValues(const Values& aValues) const
 {
@@ -60,7 +67,6 @@
                          .argument = *aPreparedText });
     prepared_[*aPreparedText] = name;
   }
-  isChanged_ = isChanged_ || !commands.empty();
   return commands;
 }
 
@@ -71,7 +77,6 @@
   values_.clear();
   prepared_.clear();
   isUnknown_ = false;
-  isChanged_ = true;
   std::vector<Sql::DatabaseCommand> commands = Prepare(aValues, aPreparedText);
   commands.insert(commands.begin(), { .kind = Sql::CommandKind::DiscardAll });
   return commands;
--- a/Libraries/LibPooler/include/LibPooler/Checkout.h
+++ b/Libraries/LibPooler/include/LibPooler/Checkout.h
@@ -81,7 +81,10 @@
    * connection otherwise.
    */
   bool isClean = false;
-  /** Session values or prepared statements were added during the checkout. */
+  /**
+   * Session values or prepared statements were changed during the checkout.
+   * Only owners of earlier releases rely on it.
+   */
   bool isChanged = false;
 };
 
--- a/Libraries/LibPooler/include/LibPooler/PooledConnection.h
+++ b/Libraries/LibPooler/include/LibPooler/PooledConnection.h
@@ -32,6 +32,11 @@
 
   void Send(const Sql::DatabaseCommand& aCommand,
             Sql::ReplyHandler aHandler) override;
+  /**
+   * Sends a command of the node that borrows the connection. One that changes
+   * the session values or prepared statements makes `state` unknown.
+   */
+  void Relay(const Sql::DatabaseCommand& aCommand, Sql::ReplyHandler aHandler);
 
   /** Records that the link has broken. */
   void MarkLost() { isLost_ = true; }
--- a/Libraries/LibPooler/include/LibPooler/SessionValues.h
+++ b/Libraries/LibPooler/include/LibPooler/SessionValues.h
@@ -22,6 +22,10 @@
 /** Prepared statements by the name that the client gave them. */
 using PreparedStatements = std::map<std::string, PreparedStatement>;
 
+/** True if a command changes session values or prepared statements. */
+bool
+ChangesState(Sql::CommandKind aKind);
+
 /**
  * The session values and prepared statements that a database holds for one
  * connection. Sessions share connections, so the state is brought up to date
@@ -61,7 +65,9 @@
   /** Marks the state unknown, so that Prepare clears the connection first. */
   void Forget() { isUnknown_ = true; }
 
-  /** True if Prepare has returned any command since Adopt. */
+  /** Records that a command which changes the state has been sent. */
+  void MarkChanged() { isChanged_ = true; }
+  /** True if the state has been changed since Adopt. */
   bool IsChanged() const { return isChanged_; }
 
   /**
--- a/Tests/LibPooler/TestCheckout.cpp
+++ b/Tests/LibPooler/TestCheckout.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE Checkout
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "FakeOwners.h"
@@ -77,6 +78,29 @@
     });
   }
 
+  /**
+   * Makes the pool under test borrow through aFormerOwners nodes, each of which
+   * passes the checkout on, from the node that opens the connections.
+   */
+  void BorrowThrough(int aFormerOwners)
+  {
+    const auto nameOf = [](int aHop) { return "hop" + std::to_string(aHop); };
+    for (int hop = 0; hop < aFormerOwners; ++hop) {
+      formerOwners.push_back(std::make_unique<Pooler::RemotePools>(
+        time, owners, "dc", metrics, Sink()));
+      formerOwners.back()->SetOwners(
+        "g", { Fakes::FakeOwners::MemberOf(nameOf(hop + 1)) });
+      auto passing = std::make_shared<ConnectionPool>(
+        time, databases, Listed(), formerOwners.back().get());
+      passing->SetLimit(0);
+      owners.Add(nameOf(hop)).pools["p"] = passing;
+    }
+    AddOwner(nameOf(aFormerOwners));
+    remote.SetOwners("g", { Fakes::FakeOwners::MemberOf(nameOf(0)) });
+  }
+
+  /** Destroyed after the owners, whose pools use them. */
+  std::vector<std::unique_ptr<Pooler::RemotePools>> formerOwners;
   Fakes::FakeOwners owners;
   Metrics::Registry metrics;
   std::vector<std::string> logged;
@@ -161,6 +185,53 @@
   BOOST_TEST(databases.At("p").HasRun("discard"));
 }
 
+/**
+ * Guards against statements that run with the session values of another
+ * client. A node that no longer owns connections passes a checkout on to the
+ * new owner, and the client sets a value in the middle of it.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       ValueSetThroughFormerOwnersIsCleared,
+                       boost::unit_test::data::xrange(4))
+{
+  BorrowThrough(sample);
+  RequestConnection("a");
+  AdvanceBy(100ms);
+  BOOST_REQUIRE(served.size() == 1U);
+  held.front()->Send(
+    { .kind = Sql::CommandKind::Set, .name = "tz", .argument = "x" },
+    [](const auto&) {});
+  AdvanceBy(50ms);
+  ReturnConnection();
+  AdvanceBy(50ms);
+  RequestConnection("b");
+  AdvanceBy(100ms);
+  const std::vector<std::string> expected{ "set tz=x", "discard" };
+  BOOST_TEST(databases.At("p").ran == expected,
+             boost::test_tools::per_element());
+}
+
+/** The transaction of a borrower that left it open is rolled back. */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       TransactionOpenedThroughFormerOwnersIsRolledBack,
+                       boost::unit_test::data::xrange(4))
+{
+  BorrowThrough(sample);
+  RequestConnection("a");
+  AdvanceBy(100ms);
+  BOOST_REQUIRE(served.size() == 1U);
+  held.front()->Send({ .kind = Sql::CommandKind::Begin }, [](const auto&) {});
+  AdvanceBy(50ms);
+  ReturnConnection();
+  AdvanceBy(50ms);
+  RequestConnection("b");
+  AdvanceBy(100ms);
+  const std::vector<std::string> expected{ "begin", "rollback" };
+  BOOST_TEST(databases.At("p").ran == expected,
+             boost::test_tools::per_element());
+  BOOST_TEST(databases.At("p").connections == 1);
+}
+
 BOOST_AUTO_TEST_CASE(UncleanReturnClosesConnectionWithOpenTransaction)
 {
   RequestConnection("a");
