platform: Notice changes that the silent polls of all nodes hide

Cause: a poll of the store lasts 29.5 s while heartbeats arrive, since some node would report a change that another misses. If all miss it, the reports agree. The operator's, the databases' and the system's own table are followed in the same way.

Evidence: the record shows all nodes change within one round of requests, right when a poll of 29.5 s ended, so no node had the row before. TestNodeOnLoopback/AConfigurationIsAppliedAlthoughAllLongPollsAreSilent failed before at both nodes (bound: 3 s). Ruled out: a row that was received and not applied or not told; a store that could not be reached.

Why it works: the store numbers all transactions in one sequence, so a missed row leaves a gap whatever table it is in and whatever connection hides it.

--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -446,7 +446,10 @@
 void
 Node::ExchangeSeenVersions()
 {
-  if (feeds_ == nullptr || !duty_.Holds())
+  if (feeds_ == nullptr)
+    return;
+  feeds_->CheckForMissedRows(duty_.Holds());
+  if (!duty_.Holds())
     return;
   duty_.SetSeen(feeds_->Seen());
   feeds_->OnSeenByPeer(membership_.SeenByOthers());
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -44,6 +44,12 @@
   virtual void OnSeenByPeer(const SeenVersions& aSeen) = 0;
   /** Requests changes of the system's own rows immediately. */
   virtual void RefreshOwnRows() = 0;
+  /**
+   * Requests all changes anew if the store has made writes of which no row has
+   * arrived. Called on each tick. Only the holder of the failover duty can tell
+   * (see Authority::VersionLedger).
+   */
+  virtual void CheckForMissedRows(bool aHoldsDuty) = 0;
 };
 
 /** The external services that a node depends on. */
--- a/Tests/LibPooler/TestNode.cpp
+++ b/Tests/LibPooler/TestNode.cpp
@@ -154,6 +154,7 @@
   Pooler::SeenVersions Seen() const override { return {}; }
   void OnSeenByPeer(const Pooler::SeenVersions&) override {}
   void RefreshOwnRows() override { ++refreshes; }
+  void CheckForMissedRows(bool) override {}
 
   int refreshes = 0;
 };
--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -140,6 +140,13 @@
       Wire::HttpStatus::ServiceUnavailable, "restored"));
 }
 
+void
+StandInStore::SilencePolls()
+{
+  for (const auto& [number, waiter] : std::exchange(waiters_, {}))
+    silenced_.push_back(waiter.reply);
+}
+
 void
 StandInStore::DropHistory()
 {
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -33,6 +33,12 @@
   /** Drops the history: requests for changes before now get status 410. */
   void DropHistory();
 
+  /**
+   * Never answers the long polls that are open now, as if their connections had
+   * gone silent without a reset.
+   */
+  void SilencePolls();
+
   /** Copies all rows, for a later Restore. */
   void TakeCopy() { copy_ = { tables_, version_ }; }
   /**
@@ -92,6 +98,8 @@
   /** Changes after this version are still available. */
   std::uint64_t historyBegin_ = 0;
   std::map<std::uint64_t, Waiter> waiters_;
+  /** Replies of silenced polls, which keep their connections open. */
+  std::vector<Wire::HttpReplyHandle> silenced_;
   std::uint64_t lastWaiter_ = 0;
   PromoteHandler onPromote_;
 };
--- a/Tests/Platform/TestNodeOnLoopback.cpp
+++ b/Tests/Platform/TestNodeOnLoopback.cpp
@@ -20,6 +20,9 @@
 /** The bound within which a configuration of a large deployment is in force. */
 constexpr Core::Duration kApplyBound = 5s;
 
+/** The bound within which any other configuration is in force. */
+constexpr Core::Duration kPromptApplyBound = 3s;
+
 /** A configuration that takes seconds to arrive at a node. */
 struct LargeConfigurationCase
 {
@@ -109,6 +112,25 @@
   }
 }
 
+/**
+ * Guards against a configuration that is confirmed but not in force. All nodes
+ * wait on long polls whose connections have gone silent, while new requests to
+ * the store are answered. A draining database is announced on the same way.
+ */
+BOOST_AUTO_TEST_CASE(AConfigurationIsAppliedAlthoughAllLongPollsAreSilent)
+{
+  ConnectUntilServed(0);
+  ConnectUntilServed(1);
+  const Core::Instant holdsDutyAt = loop.Now() + kDutyTimeout;
+  RunUntil([&] { return loop.Now() > holdsDutyAt; });
+  store.SilencePolls();
+  const Core::Instant confirmedAt = loop.Now();
+  Configure(2, "market");
+  for (const std::size_t node : { 0U, 1U })
+    BOOST_TEST(ServesBefore(node, "market", confirmedAt + kPromptApplyBound),
+               "node " << node << " doesn't serve the new route");
+}
+
 /**
  * A configuration with thousands of routes takes over a second to arrive over
  * a small VM's link, longer than a request may wait for an answer. Meanwhile
