Membership: Count the wait for a lease from the latest expulsion

What callers could see: none has reported it. A change of primary in that moment would not have asked a member that still used the old primary.

Cause: Contact::expelledSince was set at the first expulsion and never reset. A member that reaches the store but not the holder of the duty is expelled and registers again every 4 s; from the third time on its row was removed at once instead of a lease later.

Change: the time is reset when the member is seen registered again.

Why it works: a row now stays for a lease after the last moment at which the member can have got authority.

--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -225,6 +225,8 @@
       Remove(aMember);
     return;
   }
+  // It has registered again, and may have got authority since.
+  contact.expelledSince = Core::Instant::min();
   if (now - contact.lastResponseAt > kExpulsionTimeout) {
     contact.lastResponseAt = now;
     Expel(aMember, "silent");
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -131,6 +131,7 @@
      */
     Core::Instant lastResponseAt;
     Core::Instant nextHeartbeatAt{};
+    /** When the member was first seen as expelled; `min()` if it isn't. */
     Core::Instant expelledSince = Core::Instant::min();
     bool isRequestPending = false;
     /** The member's clock in its last response, sent back to it as the echo. */
--- a/Tests/LibPooler/TestMembership.cpp
+++ b/Tests/LibPooler/TestMembership.cpp
@@ -209,6 +209,29 @@
   BOOST_TEST(membership.Others().empty());
 }
 
+/**
+ * Guards against a change of primary that doesn't ask a member which may still
+ * use the old one. A member that reaches the store but not the holder registers
+ * again after each expulsion, and gets authority again each time. Its row must
+ * stay for a lease after the latest expulsion, not after the first.
+ */
+BOOST_AUTO_TEST_CASE(AMemberExpelledAgainIsRemovedALeaseAfterTheLastExpulsion)
+{
+  AddMember(MakeMember("other"));
+  deliveries["other#1"] = PeerDelivery::Silent;
+  for (int round = 0; round < 4; ++round) {
+    ApplyRows();
+    AdvanceBy(4500ms);
+    ApplyRows();
+    BOOST_REQUIRE(membership.Roster().Find("other#1") != nullptr);
+    BOOST_TEST(membership.Roster().Find("other#1")->isExpelled);
+    AdvanceBy(500ms);
+    BOOST_TEST(
+      rows.contains(Pooler::MemberRoster::RowOf(MakeMember("other")).key));
+    AddMember(MakeMember("other"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AMemberReplacedByAnotherProcessIsRemovedAtOnce)
 {
   AddMember(MakeMember("other"));
