Node: Grant no authority by a response that shows this node as expelled

What callers could see: none has reported it. A node that the others no longer ask before they replace a primary could go on using it.

Cause: ApplyOwnRows applied the groups' rows, which grant authority, before it looked at its own row. A response that shows the node as expelled or removed renewed its authority for a lease.

Change: the members' rows are applied first, then the node's own is checked, then the groups' rows are applied.

Why it works: after the check an expelled node is no longer registered, so no request that was sent before counts.

Result: the four cases hold.

--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -300,14 +300,18 @@
     duty_.OnSnapshotBegins(aRows.version);
     membership_.BeginReload();
   }
+  for (const Authority::StoredRow& row : aRows.rows)
+    ApplyMemberRow(row);
+  // These rows may show that this node is expelled, and so isn't asked before a
+  // primary is replaced. Then they grant no authority.
+  membership_.CheckSelf();
   const bool mayGrantAuthority = membership_.CoversRequest(aRows.requestedAt);
   const Core::Instant requestedAt =
     mayGrantAuthority ? aRows.requestedAt : Authority::kNoRequestTime;
   for (const Authority::StoredRow& row : aRows.rows)
-    ApplyRow(row, requestedAt);
+    ApplyGroupRow(row, requestedAt);
   if (aRows.isSnapshot)
     NoteForgottenRecords(aRows.version);
-  membership_.CheckSelf();
   hasRows_ = true;
   lastStoreRequestAt_ = std::max(lastStoreRequestAt_, aRows.requestedAt);
   for (auto& [name, router] : routers_)
@@ -334,12 +338,10 @@
 }
 
 void
-Node::ApplyRow(const Authority::StoredRow& aRow, Core::Instant aRequestedAt)
+Node::ApplyMemberRow(const Authority::StoredRow& aRow)
 {
-  if (StartsWith(aRow.key, kGroupPrefix))
-    ApplyGroupRow(aRow, aRequestedAt);
-  else if (StartsWith(aRow.key, MemberRoster::kKeyPrefix) &&
-           !membership_.Apply(aRow))
+  if (StartsWith(aRow.key, MemberRoster::kKeyPrefix) &&
+      !membership_.Apply(aRow))
     metrics_.Count(kUnreadableRows);
 }
 
@@ -347,6 +349,8 @@
 Node::ApplyGroupRow(const Authority::StoredRow& aRow,
                     Core::Instant aRequestedAt)
 {
+  if (!StartsWith(aRow.key, kGroupPrefix))
+    return;
   const std::string name = aRow.key.substr(kGroupPrefix.size());
   Core::LastReason reason;
   auto record = Authority::GroupRecord::Parse(name, aRow.value, reason);
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -139,7 +139,8 @@
   void UpdateGauges();
 
 private:
-  void ApplyRow(const Authority::StoredRow& aRow, Core::Instant aRequestedAt);
+  /** Applies the row if it is a member's. */
+  void ApplyMemberRow(const Authority::StoredRow& aRow);
   /**
    * After a snapshot of a restored store: lets records that it doesn't contain
    * be written again.
@@ -147,6 +148,7 @@
   void NoteForgottenRecords(std::uint64_t aVersion);
   /** A group's row holds something that can't be read. */
   void NoteOverwrittenRecord(const std::string& aGroup, std::uint64_t aVersion);
+  /** Applies the row if it is a group's record. */
   void ApplyGroupRow(const Authority::StoredRow& aRow,
                      Core::Instant aRequestedAt);
   void Observe(const Authority::GroupRecord& aRecord,
--- a/Tests/LibPooler/TestNode.cpp
+++ b/Tests/LibPooler/TestNode.cpp
@@ -88,19 +88,21 @@
     ApplyRows(time.Now());
   }
 
-  void ApplyRows(Core::Instant aRequestedAt)
+  static StoredRow RecordRow()
   {
     Authority::GroupRecord record;
     record.group = "g";
     record.term = 1;
     record.primary = "p";
+    return { "group/g", record.ToText(), kRecordVersion };
+  }
+
+  void ApplyRows(Core::Instant aRequestedAt)
+  {
     StoredRow self = Pooler::MemberRoster::RowOf(Settings().self);
     self.version = 3;
     node.ApplyOwnRows(
-      { true,
-        { { "group/g", record.ToText(), kRecordVersion }, self },
-        kRecordVersion,
-        aRequestedAt });
+      { true, { RecordRow(), self }, kRecordVersion, aRequestedAt });
   }
 
   void AdvanceBy(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
@@ -159,6 +161,30 @@
   int refreshes = 0;
 };
 
+/** How a response of the store shows that this node isn't a member. */
+struct UnlistedCase
+{
+  const char* name;
+  bool isSnapshot;
+  /** The response has the row of this node. */
+  bool isRowSent;
+  /** The row has been removed; otherwise the node is expelled. */
+  bool isRemoved;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const UnlistedCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const UnlistedCase kUnlisted[] = {
+  { "a snapshot in which it is expelled", true, true, false },
+  { "a snapshot without it", true, false, false },
+  { "a change that expels it", false, true, false },
+  { "a change that removes it", false, true, true },
+};
+
 /** A heartbeat that arrives after the node's own authority has expired. */
 struct HeartbeatCase
 {
@@ -261,6 +287,32 @@
   BOOST_TEST(HoldsAuthority());
 }
 
+/**
+ * Guards against a member that uses a primary after it has been replaced. The
+ * others don't ask a member that is expelled or removed, so the response that
+ * shows this must not grant it authority.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       AResponseWithoutThisMemberGrantsNoAuthority,
+                       boost::unit_test::data::make(kUnlisted))
+{
+  RegisterNode();
+  AdvanceBy(10s);
+  BOOST_REQUIRE(!HoldsAuthority());
+  Pooler::Member self = Settings().self;
+  self.isExpelled = true;
+  StoredRow row = Pooler::MemberRoster::RowOf(self);
+  row.version = kRecordVersion + 1;
+  if (sample.isRemoved)
+    row.value.clear();
+  std::vector<StoredRow> rows{ RecordRow() };
+  if (sample.isRowSent)
+    rows.push_back(row);
+  node.ApplyOwnRows(
+    { sample.isSnapshot, rows, kRecordVersion + 1, time.Now() });
+  BOOST_TEST(!HoldsAuthority());
+}
+
 BOOST_AUTO_TEST_CASE(ARecordFromAPeerEndsAuthorityAtOnce)
 {
   RegisterNode();
