FailoverDuty: Send STEPDOWN only while the duty is held

What callers could see: none has reported it. Two nodes could act on one group around a hand-over of the duty.

Cause: GroupSupervisor asked for the duty before a promotion only. A record whose write was answered late, or a change that was continued, began with STEPDOWN whether or not the lease had ended meanwhile.

Change: FailoverDuty::StepDown, which all of a supervisor's commands of this kind pass, sends nothing unless the lease outlasts the command's timeout, and logs step_down_not_sent.

Why it works: the same rule as for promotions; a command that is sent can't outlive the duty by more than its way to the database.

--- a/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
+++ b/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
@@ -79,7 +79,8 @@
 
   /**
    * Demotes a database to a replica if it is primary of a term below aTerm.
-   * Passes its status afterwards.
+   * Passes its status afterwards. Sends nothing, and passes no status, unless
+   * this node holds the failover duty for aTimeout.
    */
   virtual void StepDown(const std::string& aId,
                         Session::Term aTerm,
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -359,6 +359,13 @@
                        Core::Duration aTimeout,
                        ProbeHandler aDone)
 {
+  // The supervisor may have waited for the store since it last held the duty.
+  // Sent later, the command could demote the primary that a successor uses.
+  if (!HoldsDuty(aTimeout)) {
+    Log("step_down_not_sent", { { "database", aId }, { "term", aTerm } });
+    scheduler_.Defer([done = std::move(aDone)] { done({}); });
+    return;
+  }
   Sql::DatabaseCommand command;
   command.kind = Sql::CommandKind::StepDown;
   command.term = aTerm;
--- a/Tests/LibPooler/TestFailoverDuty.cpp
+++ b/Tests/LibPooler/TestFailoverDuty.cpp
@@ -209,6 +209,28 @@
 
 } // namespace
 
+/**
+ * Guards against two nodes that act at once. A supervisor whose write was
+ * answered after the duty had passed on would demote the primary of the next
+ * holder's change.
+ */
+BOOST_FIXTURE_TEST_CASE(WithoutTheDutyNoDatabaseIsSteppedDown, Fixture)
+{
+  databases.Add("p", true);
+  Pooler::DatabaseList list;
+  list["p"].id = "p";
+  list["p"].group = "g";
+  duty.SetDatabases(list);
+  std::optional<Authority::ProbeOutcome> outcome;
+  Port().StepDown(
+    "p", 2, 500ms, [&](const auto& aOutcome) { outcome = aOutcome; });
+  BOOST_TEST(!outcome.has_value());
+  AdvanceBy(1s);
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(!outcome->status.has_value());
+  BOOST_TEST(!databases.At("p").HasRun("step down"));
+}
+
 /**
  * A restored store lists databases that ended before, possibly at addresses
  * that others use by now. Taken for the later one, such an entry would have a
