HttpConnection: Reset a connection whose call is given up

What callers could see: none has reported it. A promotion that was held up by the network could take effect after a successor's and undo it.

Cause: a call that timed out or was cancelled closed its connection.

Change: HttpConnection, which all HTTP calls pass, sets the linger option before it drops a connection whose call has no response. Core::Loop now ignores it for every program.

Why it works: the kernel discards what it hasn't delivered, and a write to a reset connection is an ordinary error.

Result: both cases hold; AServerOutlivesAClientThatResetsItsConnection ended by SIGPIPE before and holds; TestNodeOnLoopback and TestOddRows are green.

--- a/Libraries/LibCore/Loop.cpp
+++ b/Libraries/LibCore/Loop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <algorithm>
+#include <csignal>
 #include <utility>
 
 namespace Core {
@@ -75,6 +76,8 @@
 Loop::Loop()
   : base_(NewPreciseBase())
 {
+  // libevent's writes raise it for a connection that the peer has reset.
+  std::signal(SIGPIPE, SIG_IGN);
 }
 
 Loop::~Loop()
--- a/Libraries/LibCore/include/LibCore/Loop.h
+++ b/Libraries/LibCore/include/LibCore/Loop.h
@@ -10,7 +10,10 @@
 
 namespace Core {
 
-/** The event loop (libevent) of a single-threaded process. */
+/**
+ * The event loop (libevent) of a single-threaded process. Makes the process
+ * ignore SIGPIPE, so that a write to a reset connection fails with an error.
+ */
 class Loop final : public Scheduler
 {
 public:
--- a/Libraries/LibWire/HttpConnection.cpp
+++ b/Libraries/LibWire/HttpConnection.cpp
@@ -1,11 +1,16 @@
 #include <LibWire/HttpConnection.h>
 
+#include <LibCore/Log.h>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <cstdlib>
 #include <utility>
 
@@ -29,6 +34,23 @@
   std::abort();
 }
 
+/**
+ * Lets the close of a socket reset its connection. Bytes of a request that the
+ * network holds up are then lost, instead of arriving after the sender has
+ * given the request up.
+ */
+void
+ResetOnClose(evutil_socket_t aSocket)
+{
+  if (aSocket < 0)
+    return;
+  const linger option{ .l_onoff = 1, .l_linger = 0 };
+  if (::setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &option, sizeof(option)) !=
+      0)
+    Core::LogChange("socket_option_not_set",
+                    { { "option", "linger" }, { "errno", errno } });
+}
+
 } // namespace
 
 HttpConnection::HttpConnection(Core::Loop& aLoop,
@@ -174,8 +196,8 @@
 HttpConnection::Cancel()
 {
   timer_.reset();
-  callback_ = nullptr;
   Discard();
+  callback_ = nullptr;
 }
 
 void
@@ -197,6 +219,9 @@
     evbuffer_remove_cb_entry(
       bufferevent_get_input(evhttp_connection_get_bufferevent(connection_)),
       std::exchange(inputObserver_, nullptr));
+  if (IsBusy())
+    ResetOnClose(
+      bufferevent_getfd(evhttp_connection_get_bufferevent(connection_)));
   const std::shared_ptr<evhttp_connection> connection(
     std::exchange(connection_, nullptr), &evhttp_connection_free);
   // libevent may be handling this connection further up the call stack, so the
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -20,8 +20,6 @@
     return exitCode;
 
   Core::StartBoundedLog(settings->Text("node.name"));
-  // A write to a connection that the peer has closed must not end the process.
-  std::signal(SIGPIPE, SIG_IGN);
   Core::Loop loop;
   NodeServer server(loop, *settings);
   Core::LastReason reason;
--- a/Tests/LibWire/TestHttpConnection.cpp
+++ b/Tests/LibWire/TestHttpConnection.cpp
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <vector>
+
 using namespace Wire;
 using std::chrono::milliseconds;
 
@@ -84,6 +86,65 @@
   ::close(listener);
 }
 
+/** How a call without a response ends. */
+struct AbandonedCallCase
+{
+  const char* name;
+  bool isCancelled;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const AbandonedCallCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const AbandonedCallCase kAbandonedCalls[] = {
+  { "it times out", false },
+  { "it is cancelled", true },
+};
+
+/**
+ * Guards against a request that takes effect after its sender has given it up,
+ * such as a promotion that undoes that of the next holder of the duty. What the
+ * network, or here the server's full buffer, holds up must not be delivered
+ * later, as it is if the connection is closed without a reset.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       AnAbandonedRequestIsNotDeliveredLater,
+                       boost::unit_test::data::make(kAbandonedCalls))
+{
+  constexpr std::size_t kSize = std::size_t{ 16 } << 20U;
+  const auto [listener, address] = Listen();
+  HttpConnection connection(loop, address, "");
+  const auto cancellation = loop.After(milliseconds(200), [&] {
+    if (sample.isCancelled)
+      connection.Cancel();
+    loop.Stop();
+  });
+  HttpCall call;
+  call.method = HttpMethod::Post;
+  call.target = "/x";
+  call.body = std::string(kSize, 'x');
+  call.timeout = milliseconds(sample.isCancelled ? 5000 : 100);
+  connection.Send(call, [](const HttpOutcome&) {});
+  loop.Run();
+  const auto end = loop.After(milliseconds(20), [this] { loop.Stop(); });
+  loop.Run();
+  const int accepted = ::accept(listener, nullptr, nullptr);
+  std::vector<char> buffer(std::size_t{ 1 } << 20U);
+  std::size_t total = 0;
+  ssize_t received = 0;
+  do {
+    total += static_cast<std::size_t>(received);
+    received = ::recv(accepted, buffer.data(), buffer.size(), 0);
+  } while (received > 0);
+  BOOST_TEST(received == -1);
+  BOOST_TEST(total < kSize);
+  ::close(accepted);
+  ::close(listener);
+}
+
 /** How a server sends a response of several parts, and what becomes of it. */
 struct SlowResponseCase
 {
@@ -153,6 +214,37 @@
   ::close(listener);
 }
 
+/**
+ * Guards against a process that ends by SIGPIPE, because the peer of one of its
+ * connections has reset it.
+ */
+BOOST_FIXTURE_TEST_CASE(AServerOutlivesAClientThatResetsItsConnection, Fixture)
+{
+  HttpServer server(loop);
+  HttpReplyHandle pending;
+  server.Route(HttpMethod::Get,
+               "/x",
+               [&](const HttpRequest&, const HttpReplyHandle& aReply) {
+                 pending = aReply;
+               });
+  Core::LastReason reason;
+  const auto address = server.Listen({ "127.0.0.1", 0 }, reason);
+  BOOST_REQUIRE(address);
+  HttpConnection connection(loop, *address, "");
+  // The server doesn't read the reset before it sends the response.
+  const auto reset = loop.After(milliseconds(50), [&] { connection.Cancel(); });
+  const auto response = loop.After(milliseconds(100), [&] {
+    pending->Send(HttpResponse::Error(HttpStatus::Ok, "late"));
+  });
+  const auto end = loop.After(milliseconds(150), [&] { loop.Stop(); });
+  HttpCall call;
+  call.target = "/x";
+  call.timeout = milliseconds(5000);
+  connection.Send(call, [](const HttpOutcome&) {});
+  loop.Run();
+  BOOST_TEST(pending != nullptr);
+}
+
 /** A response that nobody awaits must not take bandwidth from the next one. */
 BOOST_FIXTURE_TEST_CASE(ACancelledCallClosesItsConnection, Fixture)
 {
--- a/Utilities/mastichold-bench/main.cpp
+++ b/Utilities/mastichold-bench/main.cpp
@@ -374,7 +374,6 @@
   control->add_option("--seconds", arguments.seconds, "How long");
   CLI11_PARSE(app, aCount, aValues);
 
-  std::signal(SIGPIPE, SIG_IGN);
   TestBed testBed;
   Core::LastReason reason;
   auto deployment = Deployment::Load(arguments.deployment, reason);
