Node: Renew authority only if all groups' records agree with the holder's

What callers could see: none has reported it. A member could go on using a primary that had been replaced.

Cause: RenewByHeartbeat compared only the newest version among the records of all groups. A member that missed the record of one group and received a later one of another was confirmed as knowing all, and renewed its authority over the first group's former primary.

Change: RecordVersions keeps the versions of all groups' records; heartbeats carry its digest. A node whose digest differs asks the store at once and renews nothing. Heartbeats of holders of an earlier release have no digest; the former rule applies to them. MaintainMembers passes on one Heartbeat.

Why it works: equal digests mean equal records, group by group.

Result: the test holds; TestMembership, TestPeerMessages and the loopback tests are green.

--- a/Libraries/LibPeers/PeerClient.cpp
+++ b/Libraries/LibPeers/PeerClient.cpp
@@ -31,6 +31,8 @@
     json["echo_us"] = aHeartbeat.echo->time_since_epoch().count();
   if (aHeartbeat.newestRecord)
     json["newest_record"] = *aHeartbeat.newestRecord;
+  if (aHeartbeat.recordsDigest)
+    json["records_digest"] = *aHeartbeat.recordsDigest;
   json["seen"] = ToJson(aHeartbeat.seen);
   return json;
 }
--- a/Libraries/LibPeers/PeerServer.cpp
+++ b/Libraries/LibPeers/PeerServer.cpp
@@ -26,6 +26,9 @@
   if (const auto newest =
         aReader.OptionalInteger("newest_record", 0, kMaxInt64))
     heartbeat.newestRecord = static_cast<std::uint64_t>(*newest);
+  if (const auto digest =
+        aReader.OptionalInteger("records_digest", 0, kMaxInt64))
+    heartbeat.recordsDigest = static_cast<std::uint64_t>(*digest);
   heartbeat.seen = ReadSeenRows(aReader);
   return heartbeat;
 }
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -141,7 +141,7 @@
 FailoverDuty::SetRecord(const Authority::GroupRecord& aRecord)
 {
   forgotten_.OnRecord(aRecord, scheduler_.Now());
-  newestRecord_ = std::max(newestRecord_, aRecord.version);
+  records_.Set(aRecord.group, aRecord.version);
   primaries_[aRecord.group] = aRecord.primary;
   if (!aRecord.isOverwritten)
     unreadable_.erase(aRecord.group);
@@ -181,7 +181,9 @@
   heldDuty_ = holds;
   if (holds)
     membership_.MaintainMembers(
-      KnowsAllChanges() ? std::optional(newestRecord_) : std::nullopt, seen_);
+      KnowsAllChanges() ? std::optional(records_.Newest()) : std::nullopt,
+      seen_,
+      records_.Digest());
   for (auto& [name, supervisor] : supervisors_)
     supervisor->Tick();
 }
--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -157,14 +157,21 @@
 
 void
 Membership::MaintainMembers(std::optional<std::uint64_t> aNewestRecord,
-                            const SeenVersions& aSeen)
+                            const SeenVersions& aSeen,
+                            std::uint64_t aRecordsDigest)
 {
+  Heartbeat content;
+  content.sender = self_.Key();
+  content.newestRecord = aNewestRecord;
+  content.seen = aSeen;
+  if (aNewestRecord)
+    content.recordsDigest = aRecordsDigest;
   std::erase_if(contacts_, [this](const auto& aEntry) {
     return roster_.Find(aEntry.first) == nullptr;
   });
   for (const auto& [key, member] : roster_.All()) {
     if (key != self_.Key())
-      MaintainMember(member, aNewestRecord, aSeen);
+      MaintainMember(member, content);
   }
 }
 
@@ -200,9 +207,7 @@
 }
 
 void
-Membership::MaintainMember(const Member& aMember,
-                           std::optional<std::uint64_t> aNewestRecord,
-                           const SeenVersions& aSeen)
+Membership::MaintainMember(const Member& aMember, const Heartbeat& aContent)
 {
   const Core::Instant now = scheduler_.Now();
   const std::string key = aMember.Key();
@@ -238,9 +243,12 @@
   // Counted from when it was due, so that a late call doesn't slow the pace.
   contact.nextHeartbeatAt = std::max(
     contact.nextHeartbeatAt + kHeartbeatInterval, now + kHeartbeatInterval / 2);
+  Heartbeat heartbeat = aContent;
+  heartbeat.receiver = key;
+  heartbeat.echo = contact.clock;
   peers_.SendHeartbeat(
     aMember,
-    { self_.Key(), key, contact.clock, aNewestRecord, false, aSeen },
+    heartbeat,
     [this, alive = alive_, key](const HeartbeatResponse& aResponse) {
       if (*alive)
         OnHeartbeatResponse(key, aResponse);
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -508,16 +508,17 @@
       !membership_.CoversRequest(*aHeartbeat.echo))
     return;
   holderConfirmedAt_ = scheduler_.Now();
-  std::uint64_t newest = 0;
-  for (const auto& [name, router] : routers_) {
-    if (const auto& record = router->Authority().Record())
-      newest = std::max(newest, record->version);
-  }
-  // This node and the holder differ in the newest record, so this node may
-  // have missed a change of primary.
-  if (newest < *aHeartbeat.newestRecord && feeds_ != nullptr)
+  const RecordVersions& records = duty_.Records();
+  const bool hasNewest = records.Newest() == *aHeartbeat.newestRecord;
+  // A node may lack one group's record and know a later one of another group.
+  const bool hasAll =
+    hasNewest &&
+    records.Digest() == aHeartbeat.recordsDigest.value_or(records.Digest());
+  const bool mayLackRecords =
+    records.Newest() < *aHeartbeat.newestRecord || (hasNewest && !hasAll);
+  if (mayLackRecords && feeds_ != nullptr)
     feeds_->RefreshOwnRows();
-  if (newest != *aHeartbeat.newestRecord)
+  if (!hasAll)
     return;
   for (auto& [name, router] : routers_)
     router->RenewAuthority(*aHeartbeat.echo);
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -7,6 +7,7 @@
 #include <LibPooler/ForgottenMembers.h>
 #include <LibPooler/Membership.h>
 #include <LibPooler/RecordBroadcast.h>
+#include <LibPooler/RecordVersions.h>
 
 #include <map>
 #include <memory>
@@ -102,6 +103,8 @@
    */
   void Release();
   bool Holds() const { return HoldsDuty(Core::Duration::zero()); }
+  /** The versions of all records that SetRecord was called with. */
+  const RecordVersions& Records() const { return records_; }
 
   /**
    * True while no other node can begin a change of primary and this node has
@@ -215,7 +218,7 @@
   /** By group: the version of a row that can't be read. */
   std::map<std::string, std::uint64_t> unreadable_;
   std::uint64_t appliedVersion_ = 0;
-  std::uint64_t newestRecord_ = 0;
+  RecordVersions records_;
   /** When this node stops, it releases the duty by then at the latest. */
   std::optional<Core::Instant> releaseDeadline_;
   bool isReadingLease_ = false;
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -70,10 +70,12 @@
    * expelled ones. Called by the holder of the failover duty, several times in
    * each heartbeat interval, over which the heartbeats are spread.
    * aNewestRecord is the newest version among the groups' records, if it is
-   * known for certain; aSeen is reported to the other members.
+   * known for certain; aSeen is reported to the other members. aRecordsDigest
+   * is that of all records, and is sent along with aNewestRecord.
    */
   void MaintainMembers(std::optional<std::uint64_t> aNewestRecord,
-                       const SeenVersions& aSeen = {});
+                       const SeenVersions& aSeen = {},
+                       std::uint64_t aRecordsDigest = 0);
   /** True while any other member responds to this one's heartbeats. */
   bool HasResponsiveMembers() const;
   /** The newest versions that any other member reported in a response. */
@@ -143,9 +145,8 @@
 
   void WriteSelf();
   void RetryRegistration();
-  void MaintainMember(const Member& aMember,
-                      std::optional<std::uint64_t> aNewestRecord,
-                      const SeenVersions& aSeen);
+  /** aContent is sent in the heartbeat, if one is due. */
+  void MaintainMember(const Member& aMember, const Heartbeat& aContent);
   void OnHeartbeatResponse(const std::string& aKey,
                            const HeartbeatResponse& aResponse);
   void Expel(Member aMember, std::string_view aReason);
--- a/Libraries/LibPooler/include/LibPooler/Peers.h
+++ b/Libraries/LibPooler/include/LibPooler/Peers.h
@@ -105,6 +105,11 @@
   /** The sender releases the duty; another member should acquire it. */
   bool resigns = false;
   SeenVersions seen{};
+  /**
+   * RecordVersions::Digest() of the sender, with newestRecord. Holders of
+   * earlier releases don't send it.
+   */
+  std::optional<std::uint64_t> recordsDigest{};
 };
 
 /** A member's response to a heartbeat. */
--- a/Tests/LibPeers/TestPeerMessages.cpp
+++ b/Tests/LibPeers/TestPeerMessages.cpp
@@ -191,6 +191,7 @@
 {
   const std::string valid =
     R"({"sender":"a#1","receiver":"receiver#1","echo_us":5,"newest_record":7,
+        "records_digest":9,
         "seen":{"own":3},"asker":"a#1","records":[{"group":"g","version":1,
         "record":"{\"term\":1,\"primary\":\"p\",\"starts\":[[1,2]]}"}]})";
   Core::Random random(11);
--- a/Tests/LibPooler/TestMembership.cpp
+++ b/Tests/LibPooler/TestMembership.cpp
@@ -42,7 +42,7 @@
   {
     timer = time.Every(50ms, [this] {
       if (holdsDuty)
-        membership.MaintainMembers(7);
+        membership.MaintainMembers(7, {}, 11);
     });
   }
   ~Fixture() override
@@ -290,6 +290,7 @@
   BOOST_REQUIRE(lastHeartbeat.echo.has_value());
   BOOST_CHECK(*lastHeartbeat.echo == Core::Instant(5s));
   BOOST_TEST(*lastHeartbeat.newestRecord == 7U);
+  BOOST_TEST(*lastHeartbeat.recordsDigest == 11U);
   BOOST_TEST(lastHeartbeat.receiver == "other#1");
 }
 
--- a/Tests/LibPooler/TestNode.cpp
+++ b/Tests/LibPooler/TestNode.cpp
@@ -346,6 +346,43 @@
   node.SetFeeds(nullptr);
 }
 
+/**
+ * Guards against authority over a primary that was replaced. A silent member
+ * that missed the record of one group, and received a later one of another,
+ * knows the newest record all the same.
+ */
+BOOST_AUTO_TEST_CASE(AHeartbeatRenewsNothingIfAnyRecordDiffers)
+{
+  FakeFeeds feeds;
+  node.SetFeeds(&feeds);
+  RegisterNode();
+  Authority::GroupRecord other;
+  other.group = "h";
+  other.term = 1;
+  other.primary = "q";
+  other.version = kRecordVersion + 2;
+  node.OnRecord(other);
+  AdvanceBy(10s);
+  BOOST_REQUIRE(!HoldsAuthority());
+  Pooler::RecordVersions records;
+  records.Set("g", kRecordVersion + 1);
+  records.Set("h", kRecordVersion + 2);
+  Pooler::Heartbeat heartbeat;
+  heartbeat.sender = "holder#1";
+  heartbeat.receiver = "me#1";
+  heartbeat.echo = time.Now();
+  heartbeat.newestRecord = records.Newest();
+  heartbeat.recordsDigest = records.Digest();
+  node.OnHeartbeat(heartbeat);
+  BOOST_TEST(!HoldsAuthority());
+  BOOST_TEST(feeds.refreshes == 1);
+  records.Set("g", kRecordVersion);
+  heartbeat.recordsDigest = records.Digest();
+  node.OnHeartbeat(heartbeat);
+  BOOST_TEST(HoldsAuthority());
+  node.SetFeeds(nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(OnlyMembersReceiveTheAgesOfRecords)
 {
   RegisterNode();
