PrimaryMonitor: Ask a primary for its role while it answers reads, too

What callers could see: none has reported it. All writes of a group would be refused for as long as plain reads reach the former primary.

Cause: replies to statements count as signs of life, and while they came the holder of the duty sent no probe. A former primary refuses writes but answers plain reads as before, so nobody noticed that another database led.

Change: PrimaryMonitor probes each 2 s whatever was answered.

Why it works: a probe reports the role and the term, which the supervisor already acts on.

Cost: one probe of a group each 2 s, by the duty's holder only.

--- a/Libraries/LibAuthority/PrimaryMonitor.cpp
+++ b/Libraries/LibAuthority/PrimaryMonitor.cpp
@@ -13,6 +13,13 @@
  */
 constexpr Core::Duration kRefusalLimit = std::chrono::milliseconds(250);
 
+/**
+ * A primary is asked for its role at least this often. A former one goes on
+ * answering plain reads, so that replies to statements show that it is alive,
+ * but not that it is primary.
+ */
+constexpr Core::Duration kRoleCheckInterval = std::chrono::seconds(2);
+
 /**
  * The minimum time between the last change of primary and a switchover. Each
  * change stops writes for most of a second, and the gain must exceed that.
@@ -132,10 +139,12 @@
   const Core::Instant now = scheduler_.Now();
   // Replies to statements show that the primary is alive, too.
   const bool wasSeenRecently = Silence() < timing_.probeInterval;
-  if (isProbing_ || wasSeenRecently || now < nextProbe_)
+  const bool isDue = now >= (wasSeenRecently ? nextRoleCheck_ : nextProbe_);
+  if (isProbing_ || !isDue)
     return;
   isProbing_ = true;
   nextProbe_ = now + timing_.probeInterval;
+  nextRoleCheck_ = now + kRoleCheckInterval;
   port_.Probe(record_->primary,
               timing_.probeTimeout,
               Guard([this](const ProbeOutcome& aOutcome) {
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
@@ -74,6 +74,8 @@
   std::uint64_t epoch_ = 0;
   bool isProbing_ = false;
   Core::Instant nextProbe_{};
+  /** The next probe while statements are answered. */
+  Core::Instant nextRoleCheck_{};
   Core::Instant lastSeenAt_{};
   /** The end of the primary's log in its latest reply. */
   std::optional<Session::LogPosition> position_;
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -386,6 +386,27 @@
   BOOST_TEST(promoted.empty());
 }
 
+/**
+ * Guards against writes that nobody accepts for as long as reads go on. A
+ * former primary refuses writes, but answers plain reads as before, so that
+ * their replies don't show that another database has become primary.
+ */
+BOOST_AUTO_TEST_CASE(NoticesAFormerPrimaryThatStillAnswersReads)
+{
+  Begin();
+  members["a"].status.isPrimary = false;
+  members["b"].status.isPrimary = true;
+  members["b"].status.term = 2;
+  constexpr int kReads = 100;
+  for (int i = 0; i < kReads; ++i) {
+    supervisor.ReportPrimaryAlive({ time.Now(), { 1, 100 } });
+    AdvanceBy(50ms);
+  }
+  BOOST_TEST(stored->primary == "b");
+  BOOST_TEST(!stored->change.has_value());
+  BOOST_TEST(promoted.empty());
+}
+
 BOOST_AUTO_TEST_CASE(LimitsHowOftenItSwitchesOver)
 {
   Begin();
