--- a/Libraries/LibAuthority/include/LibAuthority/VersionLedger.h
+++ b/Libraries/LibAuthority/include/LibAuthority/VersionLedger.h
@@ -14,8 +14,8 @@
  * made them itself, therefore sees from any response that one is missing. It
  * needs no request of its own for that, and no error on a connection.
  *
- * Only the holder of the failover duty knows of all writes: its renewals of the
- * lease are the only ones that no table shows which nodes follow.
+ * Only the holder of the failover duty knows of all writes: those that renew
+ * its lease are in a table that no node follows.
  */
 class VersionLedger
 {
