LibPooler, LibAuthority: The number of synchronous replicas reaches a group's supervisor

Change: Configuration has one table of groups instead of a table of connection limits. A supervisor keeps what it knows of its group in one SupervisedGroup, which the choice of a candidate and the monitor of the primary share in place of separate references.

No decision changes. Evidence: TestDecoders reads the field; TestGroupSupervisor, TestCandidateChoice, TestPrimarySurvey, TestFailoverDuty and TestNode pass.

--- a/Libraries/LibAuthority/CandidateChoice.cpp
+++ b/Libraries/LibAuthority/CandidateChoice.cpp
@@ -1,7 +1,5 @@
 #include <LibAuthority/CandidateChoice.h>
 
-#include <algorithm>
-
 namespace Authority {
 
 namespace {
@@ -20,8 +18,8 @@
 CompareReplicas(const CandidateView& aView)
 {
   Replicas replicas;
-  for (const SupervisedDatabase& database : aView.databases) {
-    if (database.isLeaving || database.id == aView.record.primary)
+  for (const SupervisedDatabase& database : aView.group.databases) {
+    if (database.isLeaving || database.id == aView.group.record->primary)
       continue;
     ++replicas.eligible;
     const auto status = aView.statuses.find(database.id);
@@ -36,6 +34,19 @@
   return replicas;
 }
 
+/** Chooses aId, which has replied. */
+CandidateChoice
+LetLead(const CandidateView& aView, const std::string& aId)
+{
+  const GroupRecord& record = *aView.group.record;
+  const Sql::DatabaseStatus& status = aView.statuses.at(aId);
+  const bool isStillPrimary =
+    aId == record.primary && status.isPrimary && status.term == record.term;
+  return { isStillPrimary ? CandidateDecision::KeepPrimary
+                          : CandidateDecision::Promote,
+           aId };
+}
+
 /**
  * Falls back to the old primary once the time for the choice is over. It has
  * the complete log, so no commit is lost.
@@ -43,21 +54,11 @@
 CandidateChoice
 ConsiderOldPrimary(const CandidateView& aView)
 {
-  const std::string& primary = aView.record.primary;
-  const auto status = aView.statuses.find(primary);
-  const bool isListed =
-    std::any_of(aView.databases.begin(),
-                aView.databases.end(),
-                [&primary](const SupervisedDatabase& aEntry) {
-                  return aEntry.id == primary;
-                });
-  if (status == aView.statuses.end() || !isListed || !aView.isTimedOut)
+  const std::string& primary = aView.group.record->primary;
+  const bool isListed = aView.group.Find(primary) != nullptr;
+  if (!aView.statuses.contains(primary) || !isListed || !aView.isTimedOut)
     return {};
-  const bool isStillPrimary =
-    status->second.isPrimary && status->second.term == aView.record.term;
-  return { isStillPrimary ? CandidateDecision::KeepPrimary
-                          : CandidateDecision::Promote,
-           primary };
+  return LetLead(aView, primary);
 }
 
 /** The end of the old primary's log; none if it has not reported it. */
@@ -66,7 +67,7 @@
 {
   if (aView.stepDownPosition)
     return aView.stepDownPosition;
-  const auto status = aView.statuses.find(aView.record.primary);
+  const auto status = aView.statuses.find(aView.group.record->primary);
   if (status == aView.statuses.end())
     return std::nullopt;
   return status->second.received;
@@ -102,15 +103,15 @@
 CandidateChoice
 ChooseCandidate(const CandidateView& aView)
 {
+  const GroupRecord& record = *aView.group.record;
   for (const auto& [id, status] : aView.statuses) {
-    if (IsNewPrimary(aView.record, id, status))
+    if (IsNewPrimary(record, id, status))
       return { CandidateDecision::LeadsAlready, id };
   }
   const Replicas replicas = CompareReplicas(aView);
   const bool isPrimaryLost =
-    aView.isTimedOut && !aView.statuses.contains(aView.record.primary);
-  if (aView.record.change && aView.record.change->isSwitchover &&
-      !isPrimaryLost)
+    aView.isTimedOut && !aView.statuses.contains(record.primary);
+  if (record.change && record.change->isSwitchover && !isPrimaryLost)
     return ChooseForSwitchover(aView, replicas);
   if (replicas.longest == nullptr)
     return ConsiderOldPrimary(aView);
--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -36,14 +36,12 @@
                                  SupervisorTiming aTiming)
   : scheduler_(aScheduler)
   , port_(aPort)
-  , group_(std::move(aGroup))
   , timing_(aTiming)
+  , group_{ std::move(aGroup) }
   , monitor_(scheduler_,
              port_,
              group_,
              timing_,
-             record_,
-             databases_,
              [this](std::string_view aReason, bool aIsSwitchover) {
                BeginChange(aReason, aIsSwitchover);
              })
@@ -53,19 +51,19 @@
 void
 GroupSupervisor::SetDatabases(std::vector<SupervisedDatabase> aDatabases)
 {
-  databases_ = std::move(aDatabases);
+  group_.databases = std::move(aDatabases);
 }
 
 void
 GroupSupervisor::SetRecord(const std::optional<GroupRecord>& aRecord)
 {
-  if (record_ && aRecord && aRecord->version < record_->version)
+  if (group_.record && aRecord && aRecord->version < group_.record->version)
     return;
   const bool isOtherPrimary =
-    record_ && aRecord && aRecord->primary != record_->primary;
+    group_.record && aRecord && aRecord->primary != group_.record->primary;
   const bool isNewVersion =
-    record_ && aRecord && aRecord->version > record_->version;
-  record_ = aRecord;
+    group_.record && aRecord && aRecord->version > group_.record->version;
+  group_.record = aRecord;
   if (isOtherPrimary)
     monitor_.OnOtherPrimary();
   const bool isWriting = stage_ == Stage::WritingChange ||
@@ -82,16 +80,6 @@
   monitor_.ReportAlive(aSample);
 }
 
-const SupervisedDatabase*
-GroupSupervisor::FindDatabase(const std::string& aId) const
-{
-  const auto found = std::find_if(
-    databases_.begin(),
-    databases_.end(),
-    [&aId](const SupervisedDatabase& aEntry) { return aEntry.id == aId; });
-  return found == databases_.end() ? nullptr : &*found;
-}
-
 void
 GroupSupervisor::EnterStage(Stage aStage)
 {
@@ -137,9 +125,9 @@
   heldDuty_ = true;
   switch (stage_) {
     case Stage::Monitoring:
-      if (record_ && record_->change)
+      if (group_.record && group_.record->change)
         ContinueChange();
-      else if (!record_ || !record_->IsOfCurrentEra())
+      else if (!group_.record || !group_.record->IsOfCurrentEra())
         BeginSurvey();
       else
         monitor_.Check();
@@ -197,9 +185,9 @@
   // The record that can't be read any more may have named a database that
   // doesn't reply now, so that all must.
   const bool mayLackReplies =
-    isTimedOut && !port_.VersionOfUnreadableRow(group_);
-  const SurveyResult result =
-    AssessPrimary({ record_, databases_, statuses_, mayLackReplies });
+    isTimedOut && !port_.VersionOfUnreadableRow(group_.name);
+  const SurveyResult result = AssessPrimary(
+    { group_.record, group_.databases, statuses_, mayLackReplies });
   switch (result.decision) {
     case SurveyDecision::Wait:
       if (isTimedOut)
@@ -220,13 +208,13 @@
 GroupSupervisor::RecordFirst(const std::string& aPrimary)
 {
   port_.Log("group_first_primary",
-            { { "group", group_ }, { "database", aPrimary } });
+            { { "group", group_.name }, { "database", aPrimary } });
   GroupRecord record;
-  record.group = group_;
+  record.group = group_.name;
   record.primary = aPrimary;
   record.term = statuses_.at(aPrimary).term;
-  record.version =
-    port_.VersionOfUnreadableRow(group_).value_or(port_.VersionOfMissingRow());
+  record.version = port_.VersionOfUnreadableRow(group_.name)
+                     .value_or(port_.VersionOfMissingRow());
   WriteEnd(record);
 }
 
@@ -234,12 +222,12 @@
 GroupSupervisor::ConfirmRecord()
 {
   port_.Log("group_record_confirmed",
-            { { "group", group_ },
-              { "primary", record_->primary },
-              { "term", record_->term } });
+            { { "group", group_.name },
+              { "primary", group_.record->primary },
+              { "term", group_.record->term } });
   // The primary may be silent, so this doesn't count as a reply of it.
   EnterStage(Stage::WritingEnd);
-  WriteAndThen(*record_, [this] { Abandon(); });
+  WriteAndThen(*group_.record, [this] { Abandon(); });
 }
 
 void
@@ -255,7 +243,7 @@
         return;
       if (aOutcome.result != WriteResult::Applied) {
         port_.Log("group_record_not_written",
-                  { { "group", group_ },
+                  { { "group", group_.name },
                     { "result", kWriteResultNames.NameOf(aOutcome.result) } });
         // Continues from the stored record once it is known.
         Abandon();
@@ -272,12 +260,12 @@
 GroupSupervisor::BeginChange(std::string_view aReason, bool aIsSwitchover)
 {
   port_.Log("primary_change_begins",
-            { { "group", group_ },
-              { "primary", record_->primary },
-              { "term", record_->term },
+            { { "group", group_.name },
+              { "primary", group_.record->primary },
+              { "term", group_.record->term },
               { "reason", aReason },
               { "silent_ms", Core::ToMilliseconds(monitor_.Silence()) } });
-  GroupRecord record = *record_;
+  GroupRecord record = *group_.record;
   record.change = PrimaryChange{ .isSwitchover = aIsSwitchover };
   EnterStage(Stage::WritingChange);
   WriteAndThen(record, [this] { BeginFencing(); });
@@ -288,10 +276,10 @@
 {
   // A restored change may have ended, and its candidate may have been replaced.
   // It begins anew, so that the candidate is chosen by what the databases say.
-  if (record_->IsOfCurrentEra())
+  if (group_.record->IsOfCurrentEra())
     BeginFencing();
   else
-    BeginChange("change_restored", record_->change->isSwitchover);
+    BeginChange("change_restored", group_.record->change->isSwitchover);
 }
 
 void
@@ -300,15 +288,15 @@
   EnterStage(Stage::Fencing);
   statuses_.clear();
   stepDownPosition_.reset();
-  port_.StepDown(record_->primary,
-                 record_->term + 1,
+  port_.StepDown(group_.record->primary,
+                 group_.record->term + 1,
                  timing_.probeTimeout,
                  Guard([this](const ProbeOutcome& aOutcome) {
                    if (!aOutcome.status || aOutcome.status->isPrimary)
                      return;
                    stepDownPosition_ = aOutcome.status->received;
                  }));
-  port_.RevokeEverywhere(*record_, [this, epoch = epoch_] {
+  port_.RevokeEverywhere(*group_.record, [this, epoch = epoch_] {
     if (epoch == epoch_)
       OnFenced("revoked");
   });
@@ -317,7 +305,7 @@
 void
 GroupSupervisor::CheckFence()
 {
-  if (port_.HasEnded(record_->primary)) {
+  if (port_.HasEnded(group_.record->primary)) {
     OnFenced("ended");
     return;
   }
@@ -335,11 +323,11 @@
 {
   port_.Log(
     "primary_fenced",
-    { { "group", group_ },
-      { "primary", record_->primary },
+    { { "group", group_.name },
+      { "primary", group_.record->primary },
       { "how", aHow },
       { "after_ms", Core::ToMilliseconds(scheduler_.Now() - stageSince_) } });
-  if (record_->change->candidate.empty()) {
+  if (group_.record->change->candidate.empty()) {
     BeginChoosing();
     return;
   }
@@ -362,19 +350,19 @@
   if (now < nextProbe_)
     return;
   nextProbe_ = now + kCandidateProbeInterval;
-  for (const SupervisedDatabase& database : databases_)
+  for (const SupervisedDatabase& database : group_.databases)
     ProbeAndStoreStatus(database.id);
 }
 
 void
 GroupSupervisor::TryChooseCandidate()
 {
-  const Core::Duration limit = record_->change->isSwitchover
+  const Core::Duration limit = group_.record->change->isSwitchover
                                  ? kSwitchoverChoiceTimeout
                                  : timing_.choiceTimeout;
   const bool isTimedOut = scheduler_.Now() - stageSince_ > limit;
-  const CandidateChoice choice = ChooseCandidate(
-    { *record_, databases_, statuses_, stepDownPosition_, isTimedOut });
+  const CandidateChoice choice =
+    ChooseCandidate({ group_, statuses_, stepDownPosition_, isTimedOut });
   switch (choice.decision) {
     case CandidateDecision::Wait:
       return;
@@ -392,8 +380,8 @@
 void
 GroupSupervisor::KeepPrimary()
 {
-  port_.Log("primary_change_cancelled", { { "group", group_ } });
-  GroupRecord record = *record_;
+  port_.Log("primary_change_cancelled", { { "group", group_.name } });
+  GroupRecord record = *group_.record;
   record.change.reset();
   WriteEnd(record);
 }
@@ -401,9 +389,10 @@
 void
 GroupSupervisor::WriteCandidate(const std::string& aCandidate)
 {
-  GroupRecord record = *record_;
+  GroupRecord record = *group_.record;
   record.change->candidate = aCandidate;
-  boost::json::object facts{ { "group", group_ }, { "candidate", aCandidate } };
+  boost::json::object facts{ { "group", group_.name },
+                             { "candidate", aCandidate } };
   for (const auto& [id, status] : statuses_)
     facts[id] = status.received.ToText();
   port_.Log("candidate_chosen", std::move(facts));
@@ -424,14 +413,14 @@
   if (!port_.HoldsDuty(timing_.promoteTimeout))
     return;
   isPromotionRequested_ = true;
-  const std::string candidate = record_->change->candidate;
-  port_.Promote(group_,
+  const std::string candidate = group_.record->change->candidate;
+  port_.Promote(group_.name,
                 candidate,
                 timing_.promoteTimeout,
                 [this, epoch = epoch_, candidate](PromoteResult aResult) {
                   port_.Log(
                     "promote_called",
-                    { { "group", group_ },
+                    { { "group", group_.name },
                       { "candidate", candidate },
                       { "result", kPromoteResultNames.NameOf(aResult) } });
                   if (epoch == epoch_ && aResult == PromoteResult::Rejected)
@@ -443,11 +432,11 @@
 GroupSupervisor::MonitorCandidate()
 {
   const Core::Instant now = scheduler_.Now();
-  const std::string& candidate = record_->change->candidate;
+  const std::string& candidate = group_.record->change->candidate;
   const bool isOverdue = now - stageSince_ > timing_.promotionRetryInterval;
-  if (isOverdue || FindDatabase(candidate) == nullptr) {
+  if (isOverdue || group_.Find(candidate) == nullptr) {
     port_.Log("promotion_overdue",
-              { { "group", group_ }, { "candidate", candidate } });
+              { { "group", group_.name }, { "candidate", candidate } });
     BeginChoosing();
     return;
   }
@@ -466,9 +455,9 @@
 void
 GroupSupervisor::OnCandidateProbe(const ProbeOutcome& aOutcome)
 {
-  const std::string candidate = record_->change->candidate;
+  const std::string candidate = group_.record->change->candidate;
   if (!aOutcome.status ||
-      !IsNewPrimary(*record_, candidate, *aOutcome.status)) {
+      !IsNewPrimary(*group_.record, candidate, *aOutcome.status)) {
     // If this node took over the duty during the change, it doesn't know
     // whether the previous holder requested the promotion. It requests it then.
     if (!isPromotionRequested_)
@@ -482,10 +471,10 @@
 GroupSupervisor::Complete(const std::string& aId,
                           const Sql::DatabaseStatus& aStatus)
 {
-  GroupRecord record = *record_;
+  GroupRecord record = *group_.record;
   record.Complete(aId, aStatus.term, aStatus.received.position);
   port_.Log("primary_change_ends",
-            { { "group", group_ },
+            { { "group", group_.name },
               { "primary", record.primary },
               { "term", record.term },
               { "position", aStatus.received.position } });
--- a/Libraries/LibAuthority/PrimaryMonitor.cpp
+++ b/Libraries/LibAuthority/PrimaryMonitor.cpp
@@ -28,20 +28,15 @@
 
 } // namespace
 
-PrimaryMonitor::PrimaryMonitor(
-  Core::Scheduler& aScheduler,
-  SupervisorPort& aPort,
-  std::string aGroup,
-  const SupervisorTiming& aTiming,
-  const std::optional<GroupRecord>& aRecord,
-  const std::vector<SupervisedDatabase>& aDatabases,
-  ChangeHandler aOnChange)
+PrimaryMonitor::PrimaryMonitor(Core::Scheduler& aScheduler,
+                               SupervisorPort& aPort,
+                               const SupervisedGroup& aGroup,
+                               const SupervisorTiming& aTiming,
+                               ChangeHandler aOnChange)
   : scheduler_(aScheduler)
   , port_(aPort)
-  , group_(std::move(aGroup))
+  , group_(aGroup)
   , timing_(aTiming)
-  , record_(aRecord)
-  , databases_(aDatabases)
   , onChange_(std::move(aOnChange))
 {
 }
@@ -94,10 +89,10 @@
 bool
 PrimaryMonitor::HasEligibleCandidate() const
 {
-  return std::any_of(databases_.begin(),
-                     databases_.end(),
+  return std::any_of(group_.databases.begin(),
+                     group_.databases.end(),
                      [this](const SupervisedDatabase& aEntry) {
-                       return aEntry.id != record_->primary &&
+                       return aEntry.id != group_.record->primary &&
                               !aEntry.isLeaving;
                      });
 }
@@ -105,18 +100,15 @@
 bool
 PrimaryMonitor::IsPrimaryLeaving() const
 {
-  return std::any_of(databases_.begin(),
-                     databases_.end(),
-                     [this](const SupervisedDatabase& aEntry) {
-                       return aEntry.id == record_->primary && aEntry.isLeaving;
-                     });
+  const SupervisedDatabase* primary = group_.Find(group_.record->primary);
+  return primary != nullptr && primary->isLeaving;
 }
 
 void
 PrimaryMonitor::Check()
 {
   const bool mayReplace = HasEligibleCandidate();
-  if (mayReplace && port_.HasEnded(record_->primary)) {
+  if (mayReplace && port_.HasEnded(group_.record->primary)) {
     onChange_("ended", false);
     return;
   }
@@ -125,7 +117,7 @@
     return;
   }
   if (mayReplace && Silence() > timing_.silenceLimit &&
-      port_.IsUnreachableByPeers(group_, Silence())) {
+      port_.IsUnreachableByPeers(group_.name, Silence())) {
     onChange_("silent", false);
     return;
   }
@@ -145,7 +137,7 @@
   isProbing_ = true;
   nextProbe_ = now + timing_.probeInterval;
   nextRoleCheck_ = now + kRoleCheckInterval;
-  port_.Probe(record_->primary,
+  port_.Probe(group_.record->primary,
               timing_.probeTimeout,
               Guard([this](const ProbeOutcome& aOutcome) {
                 isProbing_ = false;
@@ -162,7 +154,7 @@
   }
   if (aOutcome.status) {
     const Sql::DatabaseStatus& status = *aOutcome.status;
-    if (status.isPrimary && status.term == record_->term)
+    if (status.isPrimary && status.term == group_.record->term)
       RestartSilence();
     else if (HasEligibleCandidate() || !status.isPrimary)
       onChange_("no_longer_primary", false);
@@ -176,11 +168,12 @@
 PrimaryMonitor::ConsiderSwitchover()
 {
   const Core::Instant now = scheduler_.Now();
-  if (now < noSwitchoverBefore_ || !position_ || !port_.IsOverloaded(group_))
+  if (now < noSwitchoverBefore_ || !position_ ||
+      !port_.IsOverloaded(group_.name))
     return;
   noSwitchoverBefore_ = now + timing_.probeTimeout;
-  for (const SupervisedDatabase& database : databases_) {
-    if (database.isLeaving || database.id == record_->primary)
+  for (const SupervisedDatabase& database : group_.databases) {
+    if (database.isLeaving || database.id == group_.record->primary)
       continue;
     // A switchover begins only if a replica has received the log up to the
     // primary's last known position. Promoting one that does not receive the
--- a/Libraries/LibAuthority/PrimarySurvey.cpp
+++ b/Libraries/LibAuthority/PrimarySurvey.cpp
@@ -1,3 +1,4 @@
+#include <LibAuthority/CandidateChoice.h>
 #include <LibAuthority/PrimarySurvey.h>
 
 #include <algorithm>
--- a/Libraries/LibAuthority/include/LibAuthority/CandidateChoice.h
+++ b/Libraries/LibAuthority/include/LibAuthority/CandidateChoice.h
@@ -1,30 +1,20 @@
 #pragma once
 
-#include <LibAuthority/GroupRecord.h>
+#include <LibAuthority/SupervisedGroup.h>
 #include <LibCore/EnumNames.h>
 #include <LibSql/DatabaseLink.h>
 
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace Authority {
 
-/** A database of the group, as listed by the platform. */
-struct SupervisedDatabase
-{
-  std::string id;
-  std::string dataCentre;
-  /** The platform is about to remove it. */
-  bool isLeaving = false;
-};
-
 /** The input of ChooseCandidate, once no node may use the old primary. */
 struct CandidateView
 {
-  const GroupRecord& record;
-  const std::vector<SupervisedDatabase>& databases;
+  /** It has a record. */
+  const SupervisedGroup& group;
   /** The statuses received so far, by database id. */
   const std::map<std::string, Sql::DatabaseStatus>& statuses;
   /** The end of the old primary's log after it stepped down, if it did. */
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -38,6 +38,12 @@
   /** Sets the group's databases, as the platform currently lists them. */
   void SetDatabases(std::vector<SupervisedDatabase> aDatabases);
 
+  /**
+   * Sets how many replicas must have received a commit before the primary
+   * acknowledges it, according to the configuration.
+   */
+  void SetSyncReplicas(int aCount) { group_.syncReplicas = aCount; }
+
   /** Processes the stored record; none if the store has none. */
   void SetRecord(const std::optional<GroupRecord>& aRecord);
 
@@ -102,17 +108,14 @@
   void WriteEnd(const GroupRecord& aRecord);
   void WriteAndThen(GroupRecord aRecord, std::function<void()> aNext);
   void ProbeAndStoreStatus(const std::string& aId);
-  const SupervisedDatabase* FindDatabase(const std::string& aId) const;
   /** Wraps a handler to ignore results of probes of an earlier stage. */
   std::function<void(ProbeOutcome)> Guard(
     std::function<void(const ProbeOutcome&)> aHandler);
 
   Core::Scheduler& scheduler_;
   SupervisorPort& port_;
-  std::string group_;
   SupervisorTiming timing_;
-  std::vector<SupervisedDatabase> databases_;
-  std::optional<GroupRecord> record_;
+  SupervisedGroup group_;
   PrimaryMonitor monitor_;
 
   Stage stage_ = Stage::Monitoring;
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
@@ -1,15 +1,13 @@
 #pragma once
 
-#include <LibAuthority/CandidateChoice.h>
 #include <LibAuthority/SampleHistory.h>
+#include <LibAuthority/SupervisedGroup.h>
 #include <LibAuthority/SupervisorPort.h>
 #include <LibCore/Scheduler.h>
 
 #include <functional>
 #include <optional>
-#include <string>
 #include <string_view>
-#include <vector>
 
 namespace Authority {
 
@@ -26,16 +24,14 @@
     std::function<void(std::string_view aReason, bool aIsSwitchover)>;
 
   /**
-   * Refers to the group's record and databases, which must outlive this object.
-   * aOnChange may be called from Check or from a reply of a database, until
-   * Interrupt is called.
+   * Refers to aGroup and aTiming, which must outlive this object. aOnChange may
+   * be called from Check or from a reply of a database, until Interrupt is
+   * called.
    */
   PrimaryMonitor(Core::Scheduler& aScheduler,
                  SupervisorPort& aPort,
-                 std::string aGroup,
+                 const SupervisedGroup& aGroup,
                  const SupervisorTiming& aTiming,
-                 const std::optional<GroupRecord>& aRecord,
-                 const std::vector<SupervisedDatabase>& aDatabases,
                  ChangeHandler aOnChange);
 
   /** Checks the primary; requires a record. To be called regularly. */
@@ -64,10 +60,8 @@
 
   Core::Scheduler& scheduler_;
   SupervisorPort& port_;
-  std::string group_;
+  const SupervisedGroup& group_;
   const SupervisorTiming& timing_;
-  const std::optional<GroupRecord>& record_;
-  const std::vector<SupervisedDatabase>& databases_;
   ChangeHandler onChange_;
 
   /** Incremented by each interruption. */
--- a/Libraries/LibAuthority/include/LibAuthority/PrimarySurvey.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimarySurvey.h
@@ -1,6 +1,10 @@
 #pragma once
 
-#include <LibAuthority/CandidateChoice.h>
+#include <LibAuthority/SupervisedGroup.h>
+#include <LibCore/EnumNames.h>
+#include <LibSql/DatabaseLink.h>
+
+#include <map>
 
 namespace Authority {
 
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -114,7 +114,7 @@
 }
 
 void
-FailoverDuty::SetGroups(std::set<std::string> aGroups)
+FailoverDuty::SetGroups(GroupSettingsMap aGroups)
 {
   groups_ = std::move(aGroups);
   UpdateSupervisors();
@@ -126,7 +126,7 @@
   std::map<std::string, std::vector<Authority::SupervisedDatabase>> groups;
   for (const auto& [name, supervisor] : supervisors_)
     groups[name];
-  for (const std::string& name : groups_)
+  for (const auto& [name, settings] : groups_)
     groups[name];
   for (const auto& [id, database] : databases_) {
     const auto group = groups.find(database.group);
@@ -135,6 +135,8 @@
   }
   for (auto& [name, databases] : groups)
     SupervisorOf(name).SetDatabases(std::move(databases));
+  for (const auto& [name, settings] : groups_)
+    SupervisorOf(name).SetSyncReplicas(settings.syncReplicas);
 }
 
 void
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -127,12 +127,10 @@
   longestStatement_ = Core::Duration::zero();
   for (const auto& [database, route] : configuration_.routes)
     longestStatement_ = std::max(longestStatement_, route.statementTimeout);
-  std::set<std::string> groups;
-  for (const auto& [group, limit] : configuration_.maxConnections)
-    groups.insert(group);
+  GroupSettingsMap groups = configuration_.groups;
   for (const auto& [database, route] : configuration_.routes)
-    groups.insert(route.group);
-  for (const std::string& group : groups)
+    groups.try_emplace(route.group);
+  for (const auto& [group, settings] : groups)
     RouterOf(group);
   duty_.SetGroups(std::move(groups));
   quotas_.ApplyConfiguration(configuration_);
@@ -211,8 +209,8 @@
                             const std::vector<Member>& aPresent,
                             std::size_t aGroupIndex)
 {
-  const auto limit = configuration_.maxConnections.find(aRouter.Name());
-  if (limit == configuration_.maxConnections.end())
+  const auto group = configuration_.groups.find(aRouter.Name());
+  if (group == configuration_.groups.end())
     return;
   if (aPresent.empty()) {
     // The other members aren't known yet, nor the share of the connections.
@@ -220,7 +218,7 @@
     return;
   }
   const auto usable =
-    static_cast<int>(limit->second * settings_.connectionShare);
+    static_cast<int>(group->second.maxConnections * settings_.connectionShare);
   ConnectionShare share =
     ShareOf(aRouter.Name(), aPresent, memberKey_, usable, aGroupIndex);
   const bool isShared = !share.owners.empty();
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -71,7 +71,7 @@
    * Sets the groups that the configuration names. A database of another group
    * isn't supervised: its entry may come from another writer.
    */
-  void SetGroups(std::set<std::string> aGroups);
+  void SetGroups(GroupSettingsMap aGroups);
   void SetRecord(const Authority::GroupRecord& aRecord);
   /** Reports that a group's row holds something that can't be read. */
   void SetUnreadable(const std::string& aGroup, std::uint64_t aVersion)
@@ -205,7 +205,7 @@
   ForgottenMembers forgotten_;
   DatabaseList databases_;
   /** The groups that the configuration names. */
-  std::set<std::string> groups_;
+  GroupSettingsMap groups_;
   /**
    * The listed databases, and the last listings of primaries that are no
    * longer listed.
--- a/Libraries/LibPooler/include/LibPooler/Fleet.h
+++ b/Libraries/LibPooler/include/LibPooler/Fleet.h
@@ -66,17 +66,26 @@
   std::optional<RateLimit> limit;
 };
 
+/** What the configuration says of a group of databases. */
+struct GroupSettings
+{
+  /** The connections that each database accepts from all callers together. */
+  int maxConnections = 1;
+  /**
+   * How many replicas must have received a commit before the primary
+   * acknowledges it. 0: a promotion may lose acknowledged commits.
+   */
+  int syncReplicas = 0;
+};
+using GroupSettingsMap = std::map<std::string, GroupSettings, std::less<>>;
+
 /** The complete configuration set by the operators. */
 struct Configuration
 {
   std::uint64_t version = 0;
   /** Keyed by the database name that clients connect to. */
   std::map<std::string, Route, std::less<>> routes;
-  /**
-   * By group: the connections that each of its databases accepts from all
-   * callers together.
-   */
-  std::map<std::string, int, std::less<>> maxConnections;
+  GroupSettingsMap groups;
   /** A transaction idle for longer may be rolled back; 0: never. */
   Core::Duration transactionIdleTimeout{ 0 };
   /** True if clients must present a key of a customer. */
--- a/Tests/LibAuthority/TestCandidateChoice.cpp
+++ b/Tests/LibAuthority/TestCandidateChoice.cpp
@@ -226,14 +226,14 @@
                        boost::unit_test::data::make(kSwitchoverCases),
                      aCase)
 {
-  Authority::GroupRecord record;
-  record.primary = "p";
-  record.term = kTerm;
-  record.change =
+  Authority::SupervisedGroup group;
+  group.record.emplace();
+  group.record->primary = "p";
+  group.record->term = kTerm;
+  group.record->change =
     Authority::PrimaryChange{ .isSwitchover = aCase.isSwitchover };
-  std::vector<Authority::SupervisedDatabase> databases;
   for (const char* id : { "p", "a", "b" })
-    databases.push_back({ id, "dc", aCase.leaving == id });
+    group.databases.push_back({ id, "dc", aCase.leaving == id });
   std::map<std::string, Sql::DatabaseStatus> statuses;
   for (const Reply& reply : aCase.replies) {
     Sql::DatabaseStatus& status = statuses[reply.id];
@@ -245,7 +245,7 @@
   if (aCase.stepDownPosition)
     stepDownPosition = Session::LogPosition{ kTerm, *aCase.stepDownPosition };
   const auto choice = Authority::ChooseCandidate(
-    { record, databases, statuses, stepDownPosition, aCase.isTimedOut });
+    { group, statuses, stepDownPosition, aCase.isTimedOut });
   BOOST_TEST(Authority::kCandidateDecisionNames.NameOf(choice.decision) ==
              Authority::kCandidateDecisionNames.NameOf(aCase.decision));
   BOOST_TEST(choice.database == aCase.database);
--- a/Tests/LibPooler/TestNode.cpp
+++ b/Tests/LibPooler/TestNode.cpp
@@ -67,7 +67,7 @@
     Pooler::Configuration configuration;
     configuration.version = aVersion;
     configuration.routes[aDatabase].group = "g";
-    configuration.maxConnections["g"] = 30;
+    configuration.groups["g"].maxConnections = 30;
     return configuration;
   }
 
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -60,7 +60,8 @@
          {"name":"r2","host":"d2","service":"g1","kind":"read_your_writes",
           "timeout-ms":900,"target-latency-ms":200,"max-staleness-ms":2500},
          {"name":"r3","host":"d3","service":"g1","kind":"unheard-of"}, 5],
-       "services":[{"name":"g1","max-conns":34}],
+       "services":[{"name":"g1","max-conns":34},
+                   {"name":"g2","max-conns":5,"sync-replicas":1}],
        "limits":{"tx-idle-ms":3000}})",
     findings);
   BOOST_REQUIRE(configuration.has_value());
@@ -69,7 +70,9 @@
   const Pooler::Route& route = configuration->routes.at("d2");
   BOOST_CHECK(route.consistency == Pooler::Consistency::ReadYourWrites);
   BOOST_CHECK(route.maxStaleness == std::chrono::milliseconds(2500));
-  BOOST_TEST(configuration->maxConnections.at("g1") == 34);
+  BOOST_TEST(configuration->groups.at("g1").maxConnections == 34);
+  BOOST_TEST(configuration->groups.at("g1").syncReplicas == 0);
+  BOOST_TEST(configuration->groups.at("g2").syncReplicas == 1);
   BOOST_CHECK(configuration->transactionIdleTimeout == std::chrono::seconds(3));
   BOOST_TEST(findings.List().size() == 2U);
 }
