LibAuthority: A leaving primary leads until a replica has its log, with synchronous replicas

Cause: a leaving primary was made to step down at once, whatever the replicas had received; 0.4 s later the longest of their logs was promoted.

Change: in a group with synchronous replicas the primary stays in use until a replica that stays has received its log up to the last known position, which is checked every 200 ms. It then is the same change as the switchover of an overloaded primary, with which it now shares the check. A group without synchronous replicas is treated as before.

Evidence: TestGroupSupervisor/KeepsALeavingPrimaryUntilAReplicaHasItsLog failed before with "a leaving replica has the log, another one catches up" and "no other one catches up" (the replica without the log was promoted), and passes now, like the 29 older cases.

--- a/Libraries/LibAuthority/PrimaryMonitor.cpp
+++ b/Libraries/LibAuthority/PrimaryMonitor.cpp
@@ -26,6 +26,12 @@
  */
 constexpr Core::Duration kMinSwitchoverInterval = std::chrono::seconds(15);
 
+/**
+ * How often it is checked whether a replica can take over from a leaving
+ * primary, which goes on serving until then.
+ */
+constexpr Core::Duration kLeavingCheckInterval = std::chrono::milliseconds(200);
+
 } // namespace
 
 PrimaryMonitor::PrimaryMonitor(Core::Scheduler& aScheduler,
@@ -92,8 +98,11 @@
   return std::any_of(group_.databases.begin(),
                      group_.databases.end(),
                      [this](const SupervisedDatabase& aEntry) {
-                       return aEntry.id != group_.record->primary &&
-                              !aEntry.isLeaving;
+                       // A leaving replica may be the only one that has all
+                       // acknowledged commits.
+                       const bool isEligible =
+                         !aEntry.isLeaving || group_.KeepsAcknowledgedCommits();
+                       return isEligible && aEntry.id != group_.record->primary;
                      });
 }
 
@@ -112,7 +121,8 @@
     onChange_("ended", false);
     return;
   }
-  if (mayReplace && IsPrimaryLeaving()) {
+  const bool isLeaving = IsPrimaryLeaving();
+  if (mayReplace && isLeaving && !group_.KeepsAcknowledgedCommits()) {
     onChange_("leaving", false);
     return;
   }
@@ -121,7 +131,10 @@
     onChange_("silent", false);
     return;
   }
-  ConsiderSwitchover();
+  if (isLeaving)
+    ReplaceLeavingPrimary();
+  else
+    ConsiderSwitchover();
   ProbePrimary();
 }
 
@@ -154,9 +167,11 @@
   }
   if (aOutcome.status) {
     const Sql::DatabaseStatus& status = *aOutcome.status;
-    if (status.isPrimary && status.term == group_.record->term)
+    if (status.isPrimary && status.term == group_.record->term) {
       RestartSilence();
-    else if (HasEligibleCandidate() || !status.isPrimary)
+      position_ =
+        std::max(position_.value_or(status.received), status.received);
+    } else if (HasEligibleCandidate() || !status.isPrimary)
       onChange_("no_longer_primary", false);
     return;
   }
@@ -172,20 +187,33 @@
       !port_.IsOverloaded(group_.name))
     return;
   noSwitchoverBefore_ = now + timing_.probeTimeout;
+  SwitchOverOnceReceived("overloaded");
+}
+
+void
+PrimaryMonitor::ReplaceLeavingPrimary()
+{
+  const Core::Instant now = scheduler_.Now();
+  if (now < nextLeavingCheck_ || !position_)
+    return;
+  nextLeavingCheck_ = now + kLeavingCheckInterval;
+  SwitchOverOnceReceived("leaving");
+}
+
+void
+PrimaryMonitor::SwitchOverOnceReceived(std::string_view aReason)
+{
   for (const SupervisedDatabase& database : group_.databases) {
     if (database.isLeaving || database.id == group_.record->primary)
       continue;
-    // A switchover begins only if a replica has received the log up to the
-    // primary's last known position. Promoting one that does not receive the
-    // log would lose commits.
     port_.Probe(
       database.id,
       timing_.probeTimeout,
-      Guard([this, needed = *position_](const ProbeOutcome& aOutcome) {
+      Guard([this, aReason, needed = *position_](const ProbeOutcome& aOutcome) {
         if (!aOutcome.status || aOutcome.status->received < needed)
           return;
         noSwitchoverBefore_ = scheduler_.Now() + kMinSwitchoverInterval;
-        onChange_("overloaded", true);
+        onChange_(aReason, true);
       }));
   }
 }
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
@@ -52,6 +52,17 @@
   void ProbePrimary();
   void OnPrimaryProbe(const ProbeOutcome& aOutcome);
   void ConsiderSwitchover();
+  /**
+   * In a group with synchronous replicas: keeps a leaving primary in use until
+   * a replica that stays can take over.
+   */
+  void ReplaceLeavingPrimary();
+  /**
+   * Begins a switchover if a replica that stays has received the log up to the
+   * primary's last known position. Promoting one that does not receive the log
+   * would lose commits.
+   */
+  void SwitchOverOnceReceived(std::string_view aReason);
   bool IsPrimaryLeaving() const;
   bool HasEligibleCandidate() const;
   /** Wraps a handler to ignore results of checks before an interruption. */
@@ -74,6 +85,7 @@
   /** The end of the primary's log in its latest reply. */
   std::optional<Session::LogPosition> position_;
   Core::Instant noSwitchoverBefore_ = Core::Instant::min();
+  Core::Instant nextLeavingCheck_ = Core::Instant::min();
 };
 
 } // namespace Authority
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -62,7 +62,7 @@
   {
     std::vector<Authority::SupervisedDatabase> list;
     for (const auto& [id, member] : members)
-      list.push_back({ id, "dc", leaving == id });
+      list.push_back({ id, "dc", leaving.find(id) != std::string::npos });
     supervisor.SetDatabases(list);
   }
   void AdvanceBy(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
@@ -165,6 +165,7 @@
 
   Simulation::VirtualTime time;
   std::map<std::string, FakeMember> members;
+  /** The letters are the ids of the databases that are about to leave. */
   std::string leaving;
   std::string ended;
   bool holdsDuty = true;
@@ -237,6 +238,39 @@
   { "the last commits are not received", 100, 5, 0, "a" },
 };
 
+constexpr Core::Duration kNever = 1h;
+
+/**
+ * The primary "a" of a group with one synchronous replica is about to leave;
+ * its log ends at 100, and "c" has received nothing since position 50.
+ */
+struct LeavingPrimaryCase
+{
+  const char* name;
+  /** The letters are the ids of the databases that are about to leave. */
+  const char* leaving;
+  /** "c" has the complete log after this time. */
+  Core::Duration catchesUpAfter;
+  /** The primary after 10 s. */
+  const char* primary;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const LeavingPrimaryCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const LeavingPrimaryCase kLeavingPrimaries[] = {
+  { "another replica has the log", "a", kNever, "b" },
+  { "a leaving replica has the log, another one catches up", "ab", 3s, "c" },
+  { "a leaving replica has the log, no other one catches up",
+    "ab",
+    kNever,
+    "a" },
+  { "all databases are leaving", "abc", kNever, "a" },
+};
+
 /** The group after the store was restored; its record names "a" in term 1. */
 struct RestoredRecordCase
 {
@@ -314,6 +348,37 @@
   BOOST_TEST(stored->primary == promoted.front());
 }
 
+/**
+ * Guards against a planned replacement that loses acknowledged commits: a
+ * leaving primary, which still ran, was made to step down, and a replica was
+ * promoted that had not received all of its log. Nobody needs to be without a
+ * primary while no replica can take over.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       KeepsALeavingPrimaryUntilAReplicaHasItsLog,
+                       kLeavingPrimaries)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  members["c"].status.received = { 1, 50 };
+  supervisor.ReportPrimaryAlive({ time.Now(), { 1, 100 } });
+  leaving = sample.leaving;
+  ListAll();
+  const Core::Instant begin = time.Now();
+  time.DeferFor(sample.catchesUpAfter, [this] {
+    members["c"].status.received = { 1, 100 };
+  });
+  AdvanceBy(10s);
+  BOOST_TEST(stored->primary == sample.primary);
+  BOOST_TEST(!stored->change.has_value());
+  const bool isReplaced = stored->primary != "a";
+  BOOST_TEST(promoted.size() == (isReplaced ? 1U : 0U));
+  BOOST_TEST(changeBeganAt.has_value() == isReplaced);
+  const bool waitsForC = sample.primary == std::string("c");
+  if (waitsForC)
+    BOOST_CHECK(*changeBeganAt - begin >= sample.catchesUpAfter);
+}
+
 /**
  * After the store was restored from a copy, nodes may use a primary only once
  * the holder of the duty has written its record again. It must not do so if
