LibAuthority: With synchronous replicas, only a database with all acknowledged commits is promoted

Cause: the choice of the next primary took the longest log among the replicas that stay and had replied within 0.4 s. A commit is acknowledged once as many replicas as configured have received it, leaving ones included, so the others may lack it.

Change: in a group with synchronous replicas the choice first determines a position that no acknowledged commit lies above (AcknowledgedEnd): the longest log among the replicas, once fewer of them are silent than have to receive a commit; or the end of the old primary's log, if it replies. Only a database whose log reaches there is promoted, and none until the replies prove one. A replica that stays goes first; without one in time, the old primary or a leaving replica. Groups without synchronous replicas take the path as before.

--- a/Libraries/LibAuthority/CandidateChoice.cpp
+++ b/Libraries/LibAuthority/CandidateChoice.cpp
@@ -1,3 +1,4 @@
+#include <LibAuthority/AcknowledgedLog.h>
 #include <LibAuthority/CandidateChoice.h>
 
 namespace Authority {
@@ -61,18 +62,6 @@
   return LetLead(aView, primary);
 }
 
-/** The end of the old primary's log; none if it has not reported it. */
-std::optional<Session::LogPosition>
-OldPrimaryLogEnd(const CandidateView& aView)
-{
-  if (aView.stepDownPosition)
-    return aView.stepDownPosition;
-  const auto status = aView.statuses.find(aView.group.record->primary);
-  if (status == aView.statuses.end())
-    return std::nullopt;
-  return status->second.received;
-}
-
 /** Chooses a replica only if it has received the complete log. */
 CandidateChoice
 ChooseForSwitchover(const CandidateView& aView, const Replicas& aReplicas)
@@ -86,6 +75,63 @@
   return ConsiderOldPrimary(aView);
 }
 
+/** Which of several databases with all acknowledged commits goes first. */
+enum class Preference
+{
+  Replica,
+  /** A replica takes over the load of reads when the old primary leads on. */
+  OldPrimary,
+  /** It has to be replaced again soon. */
+  LeavingReplica,
+};
+
+Preference
+PreferenceOf(const CandidateView& aView, const SupervisedDatabase& aDatabase)
+{
+  if (aDatabase.id == aView.group.record->primary)
+    return Preference::OldPrimary;
+  return aDatabase.isLeaving ? Preference::LeavingReplica : Preference::Replica;
+}
+
+bool
+IsPreferred(const CandidateView& aView,
+            const SupervisedDatabase& aLeft,
+            const SupervisedDatabase& aRight)
+{
+  const Preference left = PreferenceOf(aView, aLeft);
+  const Preference right = PreferenceOf(aView, aRight);
+  if (left != right)
+    return left < right;
+  return aView.statuses.at(aLeft.id).received >
+         aView.statuses.at(aRight.id).received;
+}
+
+/**
+ * Chooses a database that has all acknowledged commits, and none, for as long
+ * as it takes, while the replies don't prove that one has.
+ */
+CandidateChoice
+ChooseWithAcknowledgedCommits(const CandidateView& aView)
+{
+  const auto end = AcknowledgedEnd(aView);
+  if (!end)
+    return {};
+  const SupervisedDatabase* best = nullptr;
+  for (const SupervisedDatabase& database : aView.group.databases) {
+    const auto status = aView.statuses.find(database.id);
+    if (status == aView.statuses.end() || status->second.received < *end)
+      continue;
+    if (best == nullptr || IsPreferred(aView, database, *best))
+      best = &database;
+  }
+  if (best == nullptr)
+    return {};
+  const bool mayImprove = PreferenceOf(aView, *best) != Preference::Replica;
+  if (mayImprove && !aView.isTimedOut)
+    return {};
+  return LetLead(aView, best->id);
+}
+
 } // namespace
 
 bool
@@ -108,6 +154,8 @@
     if (IsNewPrimary(record, id, status))
       return { CandidateDecision::LeadsAlready, id };
   }
+  if (aView.group.KeepsAcknowledgedCommits())
+    return ChooseWithAcknowledgedCommits(aView);
   const Replicas replicas = CompareReplicas(aView);
   const bool isPrimaryLost =
     aView.isTimedOut && !aView.statuses.contains(record.primary);
--- a/Libraries/LibAuthority/include/LibAuthority/CandidateChoice.h
+++ b/Libraries/LibAuthority/include/LibAuthority/CandidateChoice.h
@@ -58,6 +58,11 @@
  * Chooses the next primary: the replica with the longest log, or the old
  * primary if no replica replies in time.
  *
+ * In a group with synchronous replicas, a database is chosen only if the
+ * replies prove that it has all acknowledged commits. A replica that stays goes
+ * first. If none has them in time, the old primary or a leaving replica is
+ * chosen.
+ *
  * In a switchover because of overload, a replica is chosen only if it has
  * received the old primary's complete log. If none has in time, the old primary
  * is kept, or promoted again if it has stepped down. If the old primary has not
--- a/Tests/LibAuthority/TestCandidateChoice.cpp
+++ b/Tests/LibAuthority/TestCandidateChoice.cpp
@@ -26,12 +26,14 @@
 {
   const char* name;
   std::vector<Reply> replies;
+  /** The letters are the ids of the databases that are about to leave. */
   std::string leaving;
   std::optional<std::uint64_t> stepDownPosition;
   bool isTimedOut;
   CandidateDecision decision;
   std::string database;
   bool isSwitchover = false;
+  int syncReplicas = 0;
 };
 
 std::ostream&
@@ -219,21 +221,185 @@
     true },
 };
 
+/**
+ * With synchronous replicas, a promotion must not lose acknowledged commits:
+ * the chosen database has each commit that a replica may have acknowledged.
+ */
+const std::vector<Case> kSyncCases{
+  { "a leaving replica has the longest log: time for the others",
+    { { "a", false, 3, 50 }, { "b", false, 3, 60 } },
+    "b",
+    {},
+    false,
+    kWait,
+    "",
+    false,
+    1 },
+  { "a leaving replica has the longest log: no other has it in time",
+    { { "a", false, 3, 50 }, { "b", false, 3, 60 } },
+    "b",
+    {},
+    true,
+    kPromote,
+    "b",
+    false,
+    1 },
+  { "all replicas are leaving",
+    { { "a", false, 3, 50 }, { "b", false, 3, 60 } },
+    "ab",
+    {},
+    true,
+    kPromote,
+    "b",
+    false,
+    1 },
+  { "of equal logs, that of a replica that stays is chosen at once",
+    { { "a", false, 3, 60 }, { "b", false, 3, 60 } },
+    "b",
+    {},
+    false,
+    kPromote,
+    "a",
+    false,
+    1 },
+  { "a silent replica may have commits that the other lacks",
+    { { "a", false, 3, 50 } },
+    "",
+    {},
+    true,
+    kWait,
+    "",
+    false,
+    1 },
+  { "a silent, leaving replica may have them as well",
+    { { "a", false, 3, 50 } },
+    "b",
+    {},
+    true,
+    kWait,
+    "",
+    false,
+    1 },
+  { "two synchronous replicas: each has all acknowledged commits",
+    { { "a", false, 3, 50 } },
+    "",
+    {},
+    true,
+    kPromote,
+    "a",
+    false,
+    2 },
+  { "the old primary's reply shows that a replica has the complete log",
+    { { "p", false, 3, 60 }, { "a", false, 3, 60 } },
+    "",
+    {},
+    false,
+    kPromote,
+    "a",
+    false,
+    1 },
+  { "the old primary stepped down where a replica's log ends, then went silent",
+    { { "a", false, 3, 60 } },
+    "",
+    60,
+    false,
+    kPromote,
+    "a",
+    false,
+    1 },
+  { "the old primary stepped down with more than the only replica has",
+    { { "a", false, 3, 50 } },
+    "",
+    60,
+    true,
+    kWait,
+    "",
+    false,
+    1 },
+  { "no replica has received the old primary's last, unacknowledged commit",
+    { { "p", false, 3, 60 }, { "a", false, 3, 59 }, { "b", false, 3, 58 } },
+    "",
+    60,
+    false,
+    kPromote,
+    "a",
+    false,
+    1 },
+  { "only the old primary, which has stepped down, has the complete log",
+    { { "p", false, 3, 60 }, { "a", false, 3, 50 } },
+    "",
+    60,
+    true,
+    kPromote,
+    "p",
+    false,
+    1 },
+  { "only the old primary, which still leads, has the complete log",
+    { { "p", true, 3, 60 }, { "a", false, 3, 50 } },
+    "p",
+    {},
+    true,
+    CandidateDecision::KeepPrimary,
+    "p",
+    false,
+    1 },
+  { "the old primary goes before a leaving replica",
+    { { "p", false, 3, 60 }, { "a", false, 3, 50 }, { "b", false, 3, 60 } },
+    "b",
+    60,
+    true,
+    kPromote,
+    "p",
+    false,
+    1 },
+  { "no database replies", {}, "", {}, true, kWait, "", false, 1 },
+  { "another database has been promoted already",
+    { { "b", true, 4, 40 } },
+    "",
+    {},
+    false,
+    CandidateDecision::LeadsAlready,
+    "b",
+    false,
+    1 },
+  { "a switchover: no replica has the complete log in time",
+    { { "p", true, 3, 60 }, { "a", false, 3, 59 } },
+    "",
+    {},
+    true,
+    CandidateDecision::KeepPrimary,
+    "p",
+    true,
+    1 },
+  { "a switchover: the primary is lost, and a replica is silent",
+    { { "a", false, 3, 50 } },
+    "",
+    {},
+    true,
+    kWait,
+    "",
+    true,
+    1 },
+};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(ChoosesTheNextPrimary,
                      boost::unit_test::data::make(kCases) +
-                       boost::unit_test::data::make(kSwitchoverCases),
+                       boost::unit_test::data::make(kSwitchoverCases) +
+                       boost::unit_test::data::make(kSyncCases),
                      aCase)
 {
   Authority::SupervisedGroup group;
+  group.syncReplicas = aCase.syncReplicas;
   group.record.emplace();
   group.record->primary = "p";
   group.record->term = kTerm;
   group.record->change =
     Authority::PrimaryChange{ .isSwitchover = aCase.isSwitchover };
   for (const char* id : { "p", "a", "b" })
-    group.databases.push_back({ id, "dc", aCase.leaving == id });
+    group.databases.push_back(
+      { id, "dc", aCase.leaving.find(id) != std::string::npos });
   std::map<std::string, Sql::DatabaseStatus> statuses;
   for (const Reply& reply : aCase.replies) {
     Sql::DatabaseStatus& status = statuses[reply.id];
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -238,8 +238,56 @@
   { "the last commits are not received", 100, 5, 0, "a" },
 };
 
+/**
+ * The primary "a" is lost at position 100 of a group with one synchronous
+ * replica. "c" has received nothing since position 50.
+ */
+struct LostPrimaryCase
+{
+  const char* name;
+  /** The letters are the ids of the databases that are about to leave. */
+  const char* leaving;
+  /** How long "b", which has the complete log, doesn't reply. */
+  Core::Duration silence;
+  /** The former primary comes back with its log after this time. */
+  Core::Duration returnsAfter;
+  /** The duty passes on to another node in the middle of the change. */
+  bool isHandedOver;
+  const char* primary;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const LostPrimaryCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
 constexpr Core::Duration kNever = 1h;
 
+const LostPrimaryCase kLostPrimaries[] = {
+  { "the replica with the log is leaving", "b", 0s, kNever, false, "b" },
+  { "both replicas are leaving", "bc", 0s, kNever, false, "b" },
+  { "the replica with the log is silent for a while",
+    "",
+    6s,
+    kNever,
+    false,
+    "b" },
+  { "a leaving replica with the log is silent for a while",
+    "b",
+    6s,
+    kNever,
+    false,
+    "b" },
+  { "the former primary comes back first", "", kNever, 6s, false, "a" },
+  { "a hand-over while the replica with the log is silent",
+    "",
+    6s,
+    kNever,
+    true,
+    "b" },
+};
+
 /**
  * The primary "a" of a group with one synchronous replica is about to leave;
  * its log ends at 100, and "c" has received nothing since position 50.
@@ -348,6 +396,37 @@
   BOOST_TEST(stored->primary == promoted.front());
 }
 
+/**
+ * Guards against a promotion that loses commits which a synchronous replica has
+ * received and the primary has acknowledged: that replica was left out of the
+ * choice because it was leaving, or because it didn't reply at once.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       KeepsAcknowledgedCommitsOfALostPrimary,
+                       kLostPrimaries)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  leaving = sample.leaving;
+  ListAll();
+  members["c"].status.received = { 1, 50 };
+  members["a"].isReachable = false;
+  members["b"].isReachable = sample.silence == 0s;
+  time.DeferFor(sample.silence, [this] { members["b"].isReachable = true; });
+  time.DeferFor(sample.returnsAfter,
+                [this] { members["a"].isReachable = true; });
+  AdvanceBy(4s);
+  if (sample.isHandedOver) {
+    holdsDuty = false;
+    AdvanceBy(500ms);
+    holdsDuty = true;
+  }
+  AdvanceBy(8s);
+  BOOST_TEST(stored->primary == sample.primary);
+  BOOST_TEST(!stored->change.has_value());
+  BOOST_TEST(std::count(promoted.begin(), promoted.end(), "c") == 0);
+}
+
 /**
  * Guards against a planned replacement that loses acknowledged commits: a
  * leaving primary, which still ran, was made to step down, and a replica was
