LibAuthority: StatusPoll collects the databases' statuses; a choice that waits is logged

Cause: a choice that waits for silent databases said nothing to operators, and would have asked all databases 25 times a second for as long as it takes.

Change: StatusPoll asks the databases for surveys and choices; while a choice in a group with synchronous replicas lacks replies after its time, it asks every 200 ms, and candidate_choice_waits says every 5 s which databases are silent. candidate_chosen names silent databases, too.

Evidence: TestGroupSupervisor (39 cases) and TestCandidateChoice pass unchanged.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -7,10 +7,13 @@
 
 namespace {
 
-/** The interval between health checks of the candidates. */
+/** The interval between health checks of the candidate. */
 constexpr Core::Duration kCandidateProbeInterval =
   std::chrono::milliseconds(40);
 
+/** The interval between log lines about a choice that lacks replies. */
+constexpr Core::Duration kWaitReportInterval = std::chrono::seconds(5);
+
 /**
  * How long a switchover waits for a replica to receive the old primary's
  * complete log. A replica that receives at all has it within milliseconds, but
@@ -38,6 +41,7 @@
   , port_(aPort)
   , timing_(aTiming)
   , group_{ std::move(aGroup) }
+  , poll_(scheduler_, port_, group_, timing_)
   , monitor_(scheduler_,
              port_,
              group_,
@@ -95,7 +99,7 @@
 GroupSupervisor::Abandon()
 {
   EnterStage(Stage::Monitoring);
-  statuses_.clear();
+  poll_.Reset();
   stepDownPosition_.reset();
   isPromotionRequested_ = false;
 }
@@ -133,14 +137,14 @@
         monitor_.Check();
       return;
     case Stage::Surveying:
-      ProbeAllDatabases();
+      poll_.Tick();
       CheckSurvey();
       return;
     case Stage::Fencing:
       CheckFence();
       return;
     case Stage::Choosing:
-      ProbeAllDatabases();
+      poll_.Tick();
       TryChooseCandidate();
       return;
     case Stage::Promoting:
@@ -156,16 +160,6 @@
   }
 }
 
-void
-GroupSupervisor::ProbeAndStoreStatus(const std::string& aId)
-{
-  port_.Probe(
-    aId, timing_.probeTimeout, Guard([this, aId](const ProbeOutcome& aOutcome) {
-      if (aOutcome.status)
-        statuses_[aId] = *aOutcome.status;
-    }));
-}
-
 void
 GroupSupervisor::BeginSurvey()
 {
@@ -173,8 +167,8 @@
     return;
   nextSurvey_ = scheduler_.Now() + kSurveyInterval;
   EnterStage(Stage::Surveying);
-  statuses_.clear();
-  ProbeAllDatabases();
+  poll_.Reset();
+  poll_.Tick();
 }
 
 void
@@ -187,7 +181,7 @@
   const bool mayLackReplies =
     isTimedOut && !port_.VersionOfUnreadableRow(group_.name);
   const SurveyResult result = AssessPrimary(
-    { group_.record, group_.databases, statuses_, mayLackReplies });
+    { group_.record, group_.databases, poll_.Statuses(), mayLackReplies });
   switch (result.decision) {
     case SurveyDecision::Wait:
       if (isTimedOut)
@@ -212,7 +206,7 @@
   GroupRecord record;
   record.group = group_.name;
   record.primary = aPrimary;
-  record.term = statuses_.at(aPrimary).term;
+  record.term = poll_.Statuses().at(aPrimary).term;
   record.version = port_.VersionOfUnreadableRow(group_.name)
                      .value_or(port_.VersionOfMissingRow());
   WriteEnd(record);
@@ -286,7 +280,7 @@
 GroupSupervisor::BeginFencing()
 {
   EnterStage(Stage::Fencing);
-  statuses_.clear();
+  poll_.Reset();
   stepDownPosition_.reset();
   port_.StepDown(group_.record->primary,
                  group_.record->term + 1,
@@ -339,19 +333,8 @@
 GroupSupervisor::BeginChoosing()
 {
   EnterStage(Stage::Choosing);
-  statuses_.clear();
-  ProbeAllDatabases();
-}
-
-void
-GroupSupervisor::ProbeAllDatabases()
-{
-  const Core::Instant now = scheduler_.Now();
-  if (now < nextProbe_)
-    return;
-  nextProbe_ = now + kCandidateProbeInterval;
-  for (const SupervisedDatabase& database : group_.databases)
-    ProbeAndStoreStatus(database.id);
+  poll_.Reset();
+  poll_.Tick();
 }
 
 void
@@ -361,22 +344,38 @@
                                  ? kSwitchoverChoiceTimeout
                                  : timing_.choiceTimeout;
   const bool isTimedOut = scheduler_.Now() - stageSince_ > limit;
-  const CandidateChoice choice =
-    ChooseCandidate({ group_, statuses_, stepDownPosition_, isTimedOut });
+  const CandidateChoice choice = ChooseCandidate(
+    { group_, poll_.Statuses(), stepDownPosition_, isTimedOut });
   switch (choice.decision) {
     case CandidateDecision::Wait:
+      if (isTimedOut && group_.KeepsAcknowledgedCommits())
+        WaitForSilentDatabases();
       return;
     case CandidateDecision::Promote:
       WriteCandidate(choice.database);
       return;
     case CandidateDecision::LeadsAlready:
-      Complete(choice.database, statuses_.at(choice.database));
+      Complete(choice.database, poll_.Statuses().at(choice.database));
       return;
     case CandidateDecision::KeepPrimary:
       KeepPrimary();
   }
 }
 
+void
+GroupSupervisor::WaitForSilentDatabases()
+{
+  const Core::Instant now = scheduler_.Now();
+  poll_.SlowDown();
+  if (now < nextWaitReport_)
+    return;
+  nextWaitReport_ = now + kWaitReportInterval;
+  boost::json::object facts{ { "group", group_.name },
+                             { "sync_replicas", group_.syncReplicas } };
+  poll_.AddPositions(facts);
+  port_.Log("candidate_choice_waits", std::move(facts));
+}
+
 void
 GroupSupervisor::KeepPrimary()
 {
@@ -393,8 +392,7 @@
   record.change->candidate = aCandidate;
   boost::json::object facts{ { "group", group_.name },
                              { "candidate", aCandidate } };
-  for (const auto& [id, status] : statuses_)
-    facts[id] = status.received.ToText();
+  poll_.AddPositions(facts);
   port_.Log("candidate_chosen", std::move(facts));
   EnterStage(Stage::WritingCandidate);
   isPromotionRequested_ = false;
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -4,11 +4,11 @@
 #include <LibAuthority/PrimaryMonitor.h>
 #include <LibAuthority/PrimarySurvey.h>
 #include <LibAuthority/SampleHistory.h>
+#include <LibAuthority/StatusPoll.h>
 #include <LibAuthority/SupervisorPort.h>
 #include <LibCore/Scheduler.h>
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -97,8 +97,9 @@
   void CheckFence();
   void OnFenced(std::string_view aHow);
   void BeginChoosing();
-  void ProbeAllDatabases();
   void TryChooseCandidate();
+  /** Goes on polling the databases at a lower rate; logs which are silent. */
+  void WaitForSilentDatabases();
   void KeepPrimary();
   void WriteCandidate(const std::string& aCandidate);
   void RequestPromotion();
@@ -107,7 +108,6 @@
   void Complete(const std::string& aId, const Sql::DatabaseStatus& aStatus);
   void WriteEnd(const GroupRecord& aRecord);
   void WriteAndThen(GroupRecord aRecord, std::function<void()> aNext);
-  void ProbeAndStoreStatus(const std::string& aId);
   /** Wraps a handler to ignore results of probes of an earlier stage. */
   std::function<void(ProbeOutcome)> Guard(
     std::function<void(const ProbeOutcome&)> aHandler);
@@ -116,6 +116,7 @@
   SupervisorPort& port_;
   SupervisorTiming timing_;
   SupervisedGroup group_;
+  StatusPoll poll_;
   PrimaryMonitor monitor_;
 
   Stage stage_ = Stage::Monitoring;
@@ -125,8 +126,8 @@
   bool isProbing_ = false;
   bool heldDuty_ = false;
   Core::Instant nextProbe_{};
+  Core::Instant nextWaitReport_ = Core::Instant::min();
   Core::Instant nextSurvey_ = Core::Instant::min();
-  std::map<std::string, Sql::DatabaseStatus> statuses_;
   /** The end of the old primary's log after it stepped down. */
   std::optional<Session::LogPosition> stepDownPosition_;
   bool isPromotionRequested_ = false;
