LibAuthority: A leaving primary hands over to a leaving replica before it ends

Cause: only replicas that stay could take over from a leaving primary.

Change: 1.5 s before the time is over for which the platform lets a leaving database serve (databases.leaving_ms, from the platform's drain-ms), a leaving replica with the complete log may take over as well. A database that was leaving already when it became primary doesn't hand over like this, so that two of them don't take turns. In groups with synchronous replicas the choice waits 0.4 s for a better one in each kind of change.

Evidence: the rows "no other one catches up" and "all databases are leaving" of KeepsALeavingPrimaryUntilAReplicaHasItsLog failed before (the primary was kept) and pass now; two rows show that nothing is promoted while no replica has the log.

--- a/Libraries/LibAuthority/CandidateChoice.cpp
+++ b/Libraries/LibAuthority/CandidateChoice.cpp
@@ -79,17 +79,19 @@
 enum class Preference
 {
   Replica,
-  /** A replica takes over the load of reads when the old primary leads on. */
+  /** There was a reason to replace it. */
   OldPrimary,
   /** It has to be replaced again soon. */
   LeavingReplica,
+  LeavingOldPrimary,
 };
 
 Preference
 PreferenceOf(const CandidateView& aView, const SupervisedDatabase& aDatabase)
 {
   if (aDatabase.id == aView.group.record->primary)
-    return Preference::OldPrimary;
+    return aDatabase.isLeaving ? Preference::LeavingOldPrimary
+                               : Preference::OldPrimary;
   return aDatabase.isLeaving ? Preference::LeavingReplica : Preference::Replica;
 }
 
--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -56,6 +56,7 @@
 GroupSupervisor::SetDatabases(std::vector<SupervisedDatabase> aDatabases)
 {
   group_.databases = std::move(aDatabases);
+  monitor_.OnGroupChanged();
 }
 
 void
@@ -70,6 +71,7 @@
   group_.record = aRecord;
   if (isOtherPrimary)
     monitor_.OnOtherPrimary();
+  monitor_.OnGroupChanged();
   const bool isWriting = stage_ == Stage::WritingChange ||
                          stage_ == Stage::WritingCandidate ||
                          stage_ == Stage::WritingEnd;
@@ -340,9 +342,12 @@
 void
 GroupSupervisor::TryChooseCandidate()
 {
-  const Core::Duration limit = group_.record->change->isSwitchover
-                                 ? kSwitchoverChoiceTimeout
-                                 : timing_.choiceTimeout;
+  // With synchronous replicas, the time limits only the wait for a better
+  // choice among logs that are known to be complete.
+  const bool waitsForLog =
+    group_.record->change->isSwitchover && !group_.KeepsAcknowledgedCommits();
+  const Core::Duration limit =
+    waitsForLog ? kSwitchoverChoiceTimeout : timing_.choiceTimeout;
   const bool isTimedOut = scheduler_.Now() - stageSince_ > limit;
   const CandidateChoice choice = ChooseCandidate(
     { group_, poll_.Statuses(), stepDownPosition_, isTimedOut });
--- a/Libraries/LibAuthority/PrimaryMonitor.cpp
+++ b/Libraries/LibAuthority/PrimaryMonitor.cpp
@@ -32,6 +32,9 @@
  */
 constexpr Core::Duration kLeavingCheckInterval = std::chrono::milliseconds(200);
 
+/** Covers a whole change of primary while the old one serves. */
+constexpr Core::Duration kHandOverTime = std::chrono::milliseconds(1500);
+
 } // namespace
 
 PrimaryMonitor::PrimaryMonitor(Core::Scheduler& aScheduler,
@@ -74,6 +77,21 @@
   RestartSilence();
   position_.reset();
   noSwitchoverBefore_ = scheduler_.Now() + kMinSwitchoverInterval;
+  hasStayed_ = false;
+  leavingSince_.reset();
+}
+
+void
+PrimaryMonitor::OnGroupChanged()
+{
+  if (!group_.record)
+    return;
+  if (!IsPrimaryLeaving()) {
+    hasStayed_ = true;
+    leavingSince_.reset();
+  } else if (hasStayed_ && !leavingSince_) {
+    leavingSince_ = scheduler_.Now();
+  }
 }
 
 Core::Duration
@@ -187,7 +205,7 @@
       !port_.IsOverloaded(group_.name))
     return;
   noSwitchoverBefore_ = now + timing_.probeTimeout;
-  SwitchOverOnceReceived("overloaded");
+  SwitchOverOnceReceived("overloaded", false);
 }
 
 void
@@ -197,14 +215,18 @@
   if (now < nextLeavingCheck_ || !position_)
     return;
   nextLeavingCheck_ = now + kLeavingCheckInterval;
-  SwitchOverOnceReceived("leaving");
+  const bool isAboutToEnd =
+    leavingSince_ && now - *leavingSince_ > timing_.leavingTime - kHandOverTime;
+  SwitchOverOnceReceived("leaving", isAboutToEnd);
 }
 
 void
-PrimaryMonitor::SwitchOverOnceReceived(std::string_view aReason)
+PrimaryMonitor::SwitchOverOnceReceived(std::string_view aReason,
+                                       bool aMayBeLeaving)
 {
   for (const SupervisedDatabase& database : group_.databases) {
-    if (database.isLeaving || database.id == group_.record->primary)
+    const bool isEligible = !database.isLeaving || aMayBeLeaving;
+    if (!isEligible || database.id == group_.record->primary)
       continue;
     port_.Probe(
       database.id,
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
@@ -45,6 +45,8 @@
   void RestartSilence();
   /** Reports that another database has become primary. */
   void OnOtherPrimary();
+  /** Reports that the group's record or databases may have changed. */
+  void OnGroupChanged();
   /** How long the primary has not replied. */
   Core::Duration Silence() const;
 
@@ -54,15 +56,16 @@
   void ConsiderSwitchover();
   /**
    * In a group with synchronous replicas: keeps a leaving primary in use until
-   * a replica that stays can take over.
+   * a replica that stays can take over. When the primary is about to end, a
+   * leaving replica will do: the loss of the primary would take longer.
    */
   void ReplaceLeavingPrimary();
   /**
-   * Begins a switchover if a replica that stays has received the log up to the
+   * Begins a switchover if an eligible replica has received the log up to the
    * primary's last known position. Promoting one that does not receive the log
    * would lose commits.
    */
-  void SwitchOverOnceReceived(std::string_view aReason);
+  void SwitchOverOnceReceived(std::string_view aReason, bool aMayBeLeaving);
   bool IsPrimaryLeaving() const;
   bool HasEligibleCandidate() const;
   /** Wraps a handler to ignore results of checks before an interruption. */
@@ -86,6 +89,14 @@
   std::optional<Session::LogPosition> position_;
   Core::Instant noSwitchoverBefore_ = Core::Instant::min();
   Core::Instant nextLeavingCheck_ = Core::Instant::min();
+  /** The primary has been listed as staying since it became primary. */
+  bool hasStayed_ = false;
+  /**
+   * When the primary was listed as leaving; none if it already was when it
+   * became primary. That one is replaced only by a replica that stays, so that
+   * leaving databases don't take over from each other.
+   */
+  std::optional<Core::Instant> leavingSince_;
 };
 
 } // namespace Authority
--- a/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
+++ b/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
@@ -144,6 +144,11 @@
    * again.
    */
   Core::Duration promotionRetryInterval{ 0 };
+  /**
+   * How long a database goes on serving, at least, after the platform has
+   * listed it as leaving.
+   */
+  Core::Duration leavingTime{ 0 };
 };
 
 } // namespace Authority
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -49,7 +49,8 @@
 constexpr Core::Duration kClockMargin = std::chrono::milliseconds(200);
 
 Authority::SupervisorTiming
-ToSupervisorTiming(const Authority::AuthorityLease& aAuthorityLease)
+ToSupervisorTiming(const Settings::ProcessSettings& aSettings,
+                   const Authority::AuthorityLease& aAuthorityLease)
 {
   using std::chrono::milliseconds;
   Authority::SupervisorTiming timing;
@@ -61,6 +62,7 @@
   timing.choiceTimeout = milliseconds(400);
   timing.promoteTimeout = kPromoteTimeout;
   timing.promotionRetryInterval = milliseconds(3000);
+  timing.leavingTime = milliseconds(aSettings.Integer("databases.leaving_ms"));
   return timing;
 }
 
@@ -107,7 +109,7 @@
   // The renewal interval tolerates one lost renewal.
   result.duty.lease.safetyMargin = result.duty.lease.duration / 8;
   result.duty.lease.renewal = result.duty.lease.duration / 3;
-  result.duty.supervisor = ToSupervisorTiming(result.authorityLease);
+  result.duty.supervisor = ToSupervisorTiming(aSettings, result.authorityLease);
   result.connectionShare = kConnectionShare;
   result.keys = ToKeySettings(aSettings);
   result.quotaTolerance = { milliseconds(aSettings.Integer("quota.window_ms")),
