LibAuthority: The record says which databases may hold acknowledged commits

What callers would see: with synchronous replicas, acknowledged writes gone after their primary crashed while the only replica that had them was cut off or had restarted.

Cause: the choice waited for the replies of the databases that the platform lists. A replica that is cut off from the platform's store, or has crashed, is dropped from that list after some seconds, so that the others seemed to be all. A replica or a primary that restarted without its log counted like one with it. The next holder of the duty, or one that can't read the configuration, knew nothing of it.

Change: the record of a group with synchronous replicas names the processes of databases (id and start) that may hold acknowledged commits, and the number of replicas that a commit needs. LogHolderTracker adds a process as soon as it is listed, and removes one that is no longer listed once enough others have received what the primary had by then. The choice waits for all of them. The end of the old primary's log proves nothing if it is below a position that the log is known to have reached. Records of other groups are written as before, byte for byte.

Evidence: of the new cases of TestGroupSupervisor, WaitsForAReplicaThatIsNoLongerListed, AReplicaThatRestartedEmptyProvesNothing, APrimaryThatRestartedEmptyProvesNothing and KeepsAcknowledgedCommitsWithoutAConfiguration failed before; they pass now, with DoesNotWaitForAReplicaThatHasLeftBefore, WaitsForAPrimaryWhoseOnlyCompleteReplicaHasLeft, RecordKeepsItsLogHolders (TestLeases) and all older cases.

--- a/Libraries/LibAuthority/AcknowledgedLog.cpp
+++ b/Libraries/LibAuthority/AcknowledgedLog.cpp
@@ -6,25 +6,51 @@
 
 namespace {
 
+/** The reply of a log holder; null if it has not replied, or is not listed. */
+const Sql::DatabaseStatus*
+ReplyOf(const CandidateView& aView, const LogHolder& aHolder)
+{
+  const SupervisedDatabase* database = aView.group.Find(aHolder.id);
+  const auto status = aView.statuses.find(aHolder.id);
+  const bool hasReplied = database != nullptr &&
+                          database->startedAt == aHolder.startedAt &&
+                          status != aView.statuses.end();
+  return hasReplied ? &status->second : nullptr;
+}
+
 /** The longest log among the replicas, if it has all acknowledged commits. */
 std::optional<Session::LogPosition>
 LongestOfEnoughReplicas(const CandidateView& aView)
 {
   int silent = 0;
   std::optional<Session::LogPosition> longest;
-  for (const SupervisedDatabase& database : aView.group.databases) {
-    if (database.id == aView.group.record->primary)
+  for (const LogHolder& holder : aView.group.LogHolders()) {
+    if (holder.id == aView.group.record->primary)
       continue;
-    const auto status = aView.statuses.find(database.id);
-    if (status == aView.statuses.end())
+    const Sql::DatabaseStatus* reply = ReplyOf(aView, holder);
+    if (reply == nullptr)
       ++silent;
-    else if (!longest || *longest < status->second.received)
-      longest = status->second.received;
+    else if (!longest || *longest < reply->received)
+      longest = reply->received;
   }
-  const bool maySilentOnesHaveMore = silent >= aView.group.syncReplicas;
+  const bool maySilentOnesHaveMore = silent >= aView.group.SyncReplicas();
   return maySilentOnesHaveMore ? std::nullopt : longest;
 }
 
+/**
+ * True if the old primary's log can't end at aEnd, since it once was longer: a
+ * database may restart under its id without its log.
+ */
+bool
+HasLostItsLog(const CandidateView& aView, const Session::LogPosition& aEnd)
+{
+  if (aView.knownEnd && aEnd < *aView.knownEnd)
+    return true;
+  const GroupRecord& record = *aView.group.record;
+  return !record.starts.empty() && record.starts.back().term == record.term &&
+         aEnd.position < record.starts.back().position;
+}
+
 } // namespace
 
 std::optional<Session::LogPosition>
@@ -42,7 +68,9 @@
 AcknowledgedEnd(const CandidateView& aView)
 {
   const auto ofReplicas = LongestOfEnoughReplicas(aView);
-  const auto ofPrimary = OldPrimaryLogEnd(aView);
+  auto ofPrimary = OldPrimaryLogEnd(aView);
+  if (ofPrimary && HasLostItsLog(aView, *ofPrimary))
+    ofPrimary.reset();
   if (ofReplicas && ofPrimary)
     return std::min(*ofReplicas, *ofPrimary);
   return ofReplicas ? ofReplicas : ofPrimary;
--- a/Libraries/LibAuthority/GroupRecord.cpp
+++ b/Libraries/LibAuthority/GroupRecord.cpp
@@ -12,6 +12,28 @@
 /** Floors are at most seconds old, so only the latest terms matter. */
 constexpr std::size_t kMaxStarts = 16;
 
+boost::json::array
+WriteHolders(const std::vector<LogHolder>& aHolders)
+{
+  boost::json::array list;
+  for (const LogHolder& holder : aHolders)
+    list.push_back(boost::json::array{ holder.id, holder.startedAt });
+  return list;
+}
+
+/** Throws if the list is malformed. */
+std::vector<LogHolder>
+ReadHolders(const boost::json::array& aList)
+{
+  std::vector<LogHolder> holders;
+  for (const auto& item : aList) {
+    const boost::json::array& fields = item.as_array();
+    holders.push_back({ std::string(fields.at(0).as_string()),
+                        fields.at(1).to_number<std::int64_t>() });
+  }
+  return holders;
+}
+
 } // namespace
 
 bool
@@ -50,6 +72,10 @@
   for (const TermStart& start : starts)
     list.push_back(boost::json::array{ start.term, start.position });
   json["starts"] = std::move(list);
+  if (syncReplicas > 0) {
+    json["sync"] = syncReplicas;
+    json["holders"] = WriteHolders(logHolders);
+  }
   return boost::json::serialize(json);
 }
 
@@ -77,6 +103,10 @@
       record.starts.push_back(
         { start.as_array().at(0).to_number<Session::Term>(),
           start.as_array().at(1).to_number<std::uint64_t>() });
+    if (const auto* sync = fields.if_contains("sync"))
+      record.syncReplicas = sync->to_number<int>();
+    if (const auto* holders = fields.if_contains("holders"))
+      record.logHolders = ReadHolders(holders->as_array());
   } catch (const std::exception& error) {
     return aReason.Set("the stored record of group " + record.group +
                        " is invalid: " + error.what());
--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/** The interval between health checks of the candidate. */
-constexpr Core::Duration kCandidateProbeInterval =
-  std::chrono::milliseconds(40);
-
 /** The interval between log lines about a choice that lacks replies. */
 constexpr Core::Duration kWaitReportInterval = std::chrono::seconds(5);
 
@@ -49,6 +45,20 @@
              [this](std::string_view aReason, bool aIsSwitchover) {
                BeginChange(aReason, aIsSwitchover);
              })
+  , logHolders_(
+      scheduler_,
+      port_,
+      group_,
+      timing_,
+      [this](const GroupRecord& aRecord) { WriteLogHolders(aRecord); })
+  , promotion_(scheduler_,
+               port_,
+               group_,
+               timing_,
+               { [this](const Sql::DatabaseStatus& aStatus) {
+                  Complete(group_.record->change->candidate, aStatus);
+                },
+                 [this] { BeginChoosing(); } })
 {
 }
 
@@ -92,9 +102,9 @@
   stage_ = aStage;
   stageSince_ = scheduler_.Now();
   ++epoch_;
-  isProbing_ = false;
-  nextProbe_ = {};
   monitor_.Interrupt();
+  logHolders_.Interrupt();
+  promotion_.Interrupt();
 }
 
 void
@@ -103,7 +113,6 @@
   EnterStage(Stage::Monitoring);
   poll_.Reset();
   stepDownPosition_.reset();
-  isPromotionRequested_ = false;
 }
 
 std::function<void(ProbeOutcome)>
@@ -136,7 +145,7 @@
       else if (!group_.record || !group_.record->IsOfCurrentEra())
         BeginSurvey();
       else
-        monitor_.Check();
+        Monitor();
       return;
     case Stage::Surveying:
       poll_.Tick();
@@ -150,7 +159,7 @@
       TryChooseCandidate();
       return;
     case Stage::Promoting:
-      MonitorCandidate();
+      promotion_.Tick();
       return;
     case Stage::WritingChange:
     case Stage::WritingCandidate:
@@ -162,6 +171,14 @@
   }
 }
 
+void
+GroupSupervisor::Monitor()
+{
+  monitor_.Check();
+  if (stage_ == Stage::Monitoring)
+    logHolders_.Check();
+}
+
 void
 GroupSupervisor::BeginSurvey()
 {
@@ -226,11 +243,27 @@
   WriteAndThen(*group_.record, [this] { Abandon(); });
 }
 
+void
+GroupSupervisor::WriteLogHolders(GroupRecord aRecord)
+{
+  aRecord.basis = aRecord.version;
+  port_.WriteRecord(aRecord,
+                    [this, record = aRecord](const WriteOutcome& aOutcome) {
+                      if (aOutcome.result != WriteResult::Applied)
+                        return;
+                      GroupRecord written = record;
+                      written.version = aOutcome.version;
+                      SetRecord(written);
+                    });
+}
+
 void
 GroupSupervisor::WriteAndThen(GroupRecord aRecord, std::function<void()> aNext)
 {
   aRecord.basis = aRecord.version;
   aRecord.isOverwritten = false;
+  aRecord.syncReplicas = group_.SyncReplicas();
+  aRecord.logHolders = group_.LogHolders();
   port_.WriteRecord(
     aRecord,
     [this, epoch = epoch_, record = aRecord, next = std::move(aNext)](
@@ -328,7 +361,7 @@
     return;
   }
   EnterStage(Stage::Promoting);
-  isPromotionRequested_ = false;
+  promotion_.Resume();
 }
 
 void
@@ -349,8 +382,11 @@
   const Core::Duration limit =
     waitsForLog ? kSwitchoverChoiceTimeout : timing_.choiceTimeout;
   const bool isTimedOut = scheduler_.Now() - stageSince_ > limit;
-  const CandidateChoice choice = ChooseCandidate(
-    { group_, poll_.Statuses(), stepDownPosition_, isTimedOut });
+  const CandidateChoice choice = ChooseCandidate({ group_,
+                                                   poll_.Statuses(),
+                                                   stepDownPosition_,
+                                                   isTimedOut,
+                                                   monitor_.Position() });
   switch (choice.decision) {
     case CandidateDecision::Wait:
       if (isTimedOut && group_.KeepsAcknowledgedCommits())
@@ -376,7 +412,7 @@
     return;
   nextWaitReport_ = now + kWaitReportInterval;
   boost::json::object facts{ { "group", group_.name },
-                             { "sync_replicas", group_.syncReplicas } };
+                             { "sync_replicas", group_.SyncReplicas() } };
   poll_.AddPositions(facts);
   port_.Log("candidate_choice_waits", std::move(facts));
 }
@@ -400,76 +436,12 @@
   poll_.AddPositions(facts);
   port_.Log("candidate_chosen", std::move(facts));
   EnterStage(Stage::WritingCandidate);
-  isPromotionRequested_ = false;
   WriteAndThen(record, [this] {
     EnterStage(Stage::Promoting);
-    RequestPromotion();
+    promotion_.Begin();
   });
 }
 
-void
-GroupSupervisor::RequestPromotion()
-{
-  // If this request took effect after one of the next holder of the duty, it
-  // would undo that promotion. So it is sent only if this node holds the
-  // failover duty until the request times out.
-  if (!port_.HoldsDuty(timing_.promoteTimeout))
-    return;
-  isPromotionRequested_ = true;
-  const std::string candidate = group_.record->change->candidate;
-  port_.Promote(group_.name,
-                candidate,
-                timing_.promoteTimeout,
-                [this, epoch = epoch_, candidate](PromoteResult aResult) {
-                  port_.Log(
-                    "promote_called",
-                    { { "group", group_.name },
-                      { "candidate", candidate },
-                      { "result", kPromoteResultNames.NameOf(aResult) } });
-                  if (epoch == epoch_ && aResult == PromoteResult::Rejected)
-                    BeginChoosing();
-                });
-}
-
-void
-GroupSupervisor::MonitorCandidate()
-{
-  const Core::Instant now = scheduler_.Now();
-  const std::string& candidate = group_.record->change->candidate;
-  const bool isOverdue = now - stageSince_ > timing_.promotionRetryInterval;
-  if (isOverdue || group_.Find(candidate) == nullptr) {
-    port_.Log("promotion_overdue",
-              { { "group", group_.name }, { "candidate", candidate } });
-    BeginChoosing();
-    return;
-  }
-  if (isProbing_ || now < nextProbe_)
-    return;
-  isProbing_ = true;
-  nextProbe_ = now + kCandidateProbeInterval;
-  port_.Probe(candidate,
-              timing_.probeTimeout,
-              Guard([this](const ProbeOutcome& aOutcome) {
-                isProbing_ = false;
-                OnCandidateProbe(aOutcome);
-              }));
-}
-
-void
-GroupSupervisor::OnCandidateProbe(const ProbeOutcome& aOutcome)
-{
-  const std::string candidate = group_.record->change->candidate;
-  if (!aOutcome.status ||
-      !IsNewPrimary(*group_.record, candidate, *aOutcome.status)) {
-    // If this node took over the duty during the change, it doesn't know
-    // whether the previous holder requested the promotion. It requests it then.
-    if (!isPromotionRequested_)
-      RequestPromotion();
-    return;
-  }
-  Complete(candidate, *aOutcome.status);
-}
-
 void
 GroupSupervisor::Complete(const std::string& aId,
                           const Sql::DatabaseStatus& aStatus)
--- a/Libraries/LibAuthority/include/LibAuthority/AcknowledgedLog.h
+++ b/Libraries/LibAuthority/include/LibAuthority/AcknowledgedLog.h
@@ -11,8 +11,9 @@
  * A commit was acknowledged once as many replicas as configured had received
  * it. So the longest log among the replicas has it, as soon as too few of them
  * are missing to have received it alone. Leaving replicas count like the
- * others: they receive commits until they end. The end of the old primary's own
- * log is such a position, too.
+ * others, since they receive commits until they end, and so do those that the
+ * platform no longer lists (SupervisedGroup::LogHolders). The end of the old
+ * primary's own log is such a position, too.
  */
 std::optional<Session::LogPosition>
 AcknowledgedEnd(const CandidateView& aView);
--- a/Libraries/LibAuthority/include/LibAuthority/CandidateChoice.h
+++ b/Libraries/LibAuthority/include/LibAuthority/CandidateChoice.h
@@ -21,6 +21,8 @@
   std::optional<Session::LogPosition> stepDownPosition;
   /** The choice no longer waits for databases that have not replied. */
   bool isTimedOut = false;
+  /** The old primary's log is known to have reached this position. */
+  std::optional<Session::LogPosition> knownEnd{};
 };
 
 enum class CandidateDecision
--- a/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
@@ -30,6 +30,17 @@
   bool isSwitchover = false;
 };
 
+/** A process of a database that may hold acknowledged commits. */
+struct LogHolder
+{
+  /** The database's id. */
+  std::string id;
+  /** The process's start in Unix milliseconds; a later one may lack commits. */
+  std::int64_t startedAt = 0;
+
+  bool operator==(const LogHolder&) const = default;
+};
+
 /** The store's record of which database is the primary of a group. */
 struct GroupRecord
 {
@@ -41,6 +52,16 @@
   std::optional<PrimaryChange> change;
   /** The starts of the most recent terms, oldest first. */
   std::vector<TermStart> starts;
+  /**
+   * How many replicas must have received a commit before the primary
+   * acknowledges it, when this record was written.
+   */
+  int syncReplicas = 0;
+  /**
+   * Each acknowledged commit is held by the primary and as many others of these
+   * as `syncReplicas` says. Empty without synchronous replicas.
+   */
+  std::vector<LogHolder> logHolders;
   /** The version of the store row that holds this record. */
   std::uint64_t version = 0;
   /**
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibAuthority/CandidateChoice.h>
+#include <LibAuthority/CandidatePromotion.h>
+#include <LibAuthority/LogHolderTracker.h>
 #include <LibAuthority/PrimaryMonitor.h>
 #include <LibAuthority/PrimarySurvey.h>
 #include <LibAuthority/SampleHistory.h>
@@ -42,7 +44,7 @@
    * Sets how many replicas must have received a commit before the primary
    * acknowledges it, according to the configuration.
    */
-  void SetSyncReplicas(int aCount) { group_.syncReplicas = aCount; }
+  void SetSyncReplicas(int aCount) { group_.configuredSyncReplicas = aCount; }
 
   /** Processes the stored record; none if the store has none. */
   void SetRecord(const std::optional<GroupRecord>& aRecord);
@@ -85,6 +87,7 @@
   void EnterStage(Stage aStage);
   /** Returns to Monitoring, which continues from the stored record. */
   void Abandon();
+  void Monitor();
   void BeginSurvey();
   void CheckSurvey();
   void RecordFirst(const std::string& aPrimary);
@@ -102,11 +105,10 @@
   void WaitForSilentDatabases();
   void KeepPrimary();
   void WriteCandidate(const std::string& aCandidate);
-  void RequestPromotion();
-  void MonitorCandidate();
-  void OnCandidateProbe(const ProbeOutcome& aOutcome);
   void Complete(const std::string& aId, const Sql::DatabaseStatus& aStatus);
   void WriteEnd(const GroupRecord& aRecord);
+  /** Writes the record without leaving the stage. */
+  void WriteLogHolders(GroupRecord aRecord);
   void WriteAndThen(GroupRecord aRecord, std::function<void()> aNext);
   /** Wraps a handler to ignore results of probes of an earlier stage. */
   std::function<void(ProbeOutcome)> Guard(
@@ -118,19 +120,18 @@
   SupervisedGroup group_;
   StatusPoll poll_;
   PrimaryMonitor monitor_;
+  LogHolderTracker logHolders_;
+  CandidatePromotion promotion_;
 
   Stage stage_ = Stage::Monitoring;
   Core::Instant stageSince_{};
   /** Incremented with every stage; replies of earlier stages are ignored. */
   std::uint64_t epoch_ = 0;
-  bool isProbing_ = false;
   bool heldDuty_ = false;
-  Core::Instant nextProbe_{};
   Core::Instant nextWaitReport_ = Core::Instant::min();
   Core::Instant nextSurvey_ = Core::Instant::min();
   /** The end of the old primary's log after it stepped down. */
   std::optional<Session::LogPosition> stepDownPosition_;
-  bool isPromotionRequested_ = false;
 };
 
 } // namespace Authority
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
@@ -47,6 +47,11 @@
   void OnOtherPrimary();
   /** Reports that the group's record or databases may have changed. */
   void OnGroupChanged();
+  /** The end of the primary's log as last known to this node. */
+  const std::optional<Session::LogPosition>& Position() const
+  {
+    return position_;
+  }
   /** How long the primary has not replied. */
   Core::Duration Silence() const;
 
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -131,7 +131,8 @@
   for (const auto& [id, database] : databases_) {
     const auto group = groups.find(database.group);
     if (group != groups.end())
-      group->second.push_back({ id, database.dataCentre, database.isLeaving });
+      group->second.push_back(
+        { id, database.dataCentre, database.isLeaving, database.startedAt });
   }
   for (auto& [name, databases] : groups)
     SupervisorOf(name).SetDatabases(std::move(databases));
--- a/Tests/LibAuthority/TestCandidateChoice.cpp
+++ b/Tests/LibAuthority/TestCandidateChoice.cpp
@@ -391,7 +391,7 @@
                      aCase)
 {
   Authority::SupervisedGroup group;
-  group.syncReplicas = aCase.syncReplicas;
+  group.configuredSyncReplicas = aCase.syncReplicas;
   group.record.emplace();
   group.record->primary = "p";
   group.record->term = kTerm;
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -35,6 +35,8 @@
 struct FakeMember
 {
   bool isReachable = true;
+  bool isListed = true;
+  std::int64_t startedAt = 1;
   Sql::DatabaseStatus status;
 };
 
@@ -62,8 +64,11 @@
   void ListAll()
   {
     std::vector<Authority::SupervisedDatabase> list;
-    for (const auto& [id, member] : members)
-      list.push_back({ id, "dc", leaving.find(id) != std::string::npos });
+    for (const auto& [id, member] : members) {
+      const bool isLeaving = leaving.find(id) != std::string::npos;
+      if (member.isListed)
+        list.push_back({ id, "dc", isLeaving, member.startedAt });
+    }
     supervisor.SetDatabases(list);
   }
   void AdvanceBy(Core::Duration aTime) { time.RunUntil(time.Now() + aTime); }
@@ -521,6 +526,159 @@
 
 BOOST_FIXTURE_TEST_SUITE(Supervisor, Fixture)
 
+/**
+ * Guards against a promotion that loses acknowledged commits because the only
+ * replica that has them is cut off: the platform has dropped it from its list,
+ * so that all listed replicas reply. The next holder of the duty, whose process
+ * never saw it listed, must wait for it as well.
+ */
+BOOST_AUTO_TEST_CASE(WaitsForAReplicaThatIsNoLongerListed)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  AdvanceBy(1s);
+  members["b"].isListed = false;
+  members["c"].status.received = { 1, 50 };
+  members["a"].isReachable = false;
+  ListAll();
+  AdvanceBy(5s);
+  BOOST_TEST(promoted.empty());
+  holdsDuty = false;
+  AdvanceBy(100ms);
+  Authority::GroupSupervisor successor(time, *this, "g", Timing());
+  successor.SetDatabases({ { "a", "dc", false, 1 }, { "c", "dc", false, 1 } });
+  successor.SetRecord(stored);
+  timer = time.Every(50ms, [&] { successor.Tick(); });
+  holdsDuty = true;
+  AdvanceBy(10s);
+  BOOST_TEST(promoted.empty());
+  successor.SetDatabases({ { "a", "dc", false, 1 },
+                           { "b", "dc", false, 1 },
+                           { "c", "dc", false, 1 } });
+  AdvanceBy(3s);
+  BOOST_TEST(stored->primary == "b");
+  timer.reset();
+}
+
+/**
+ * A replica that has left must not be waited for when the primary is lost
+ * later: by then the others have all of its acknowledged commits.
+ */
+BOOST_AUTO_TEST_CASE(DoesNotWaitForAReplicaThatHasLeftBefore)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  AdvanceBy(1s);
+  members["b"].isListed = false;
+  ListAll();
+  AdvanceBy(2s);
+  members["a"].isReachable = false;
+  AdvanceBy(3s);
+  BOOST_TEST(stored->primary == "c");
+  BOOST_TEST(!stored->change.has_value());
+}
+
+/**
+ * A replica has left, and the other one lacks commits that only the former and
+ * the primary have. When the primary is lost later, its return must be awaited.
+ */
+BOOST_AUTO_TEST_CASE(WaitsForAPrimaryWhoseOnlyCompleteReplicaHasLeft)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  AdvanceBy(1s);
+  members["c"].status.received = { 1, 50 };
+  members["b"].isListed = false;
+  ListAll();
+  AdvanceBy(2s);
+  members["a"].isReachable = false;
+  AdvanceBy(10s);
+  BOOST_TEST(promoted.empty());
+  members["a"].isReachable = true;
+  AdvanceBy(1s);
+  BOOST_TEST(stored->primary == "a");
+  BOOST_TEST(!stored->change.has_value());
+}
+
+/**
+ * Guards against a promotion that loses acknowledged commits because the
+ * replica that had them has restarted empty, and replies.
+ */
+BOOST_AUTO_TEST_CASE(AReplicaThatRestartedEmptyProvesNothing)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  AdvanceBy(1s);
+  members["c"].status.received = { 1, 50 };
+  members["b"].status.received = { 1, 0 };
+  members["b"].startedAt = 2;
+  members["a"].isReachable = false;
+  ListAll();
+  AdvanceBy(10s);
+  BOOST_TEST(promoted.empty());
+  members["a"].isReachable = true;
+  AdvanceBy(1s);
+  BOOST_TEST(stored->primary == "a");
+  BOOST_TEST(!stored->change.has_value());
+}
+
+/**
+ * Guards against a promotion that loses acknowledged commits because the old
+ * primary has restarted empty: the end of its log then seems to be far below
+ * that of each replica.
+ */
+BOOST_AUTO_TEST_CASE(APrimaryThatRestartedEmptyProvesNothing)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  supervisor.ReportPrimaryAlive({ time.Now(), { 1, 100 } });
+  members["b"].isReachable = false;
+  members["c"].status.received = { 1, 50 };
+  members["a"].status = { false, 1, { 1, 0 }, {}, 0, 0 };
+  AdvanceBy(10s);
+  BOOST_TEST(promoted.empty());
+  members["b"].isReachable = true;
+  AdvanceBy(3s);
+  BOOST_TEST(stored->primary == "b");
+}
+
+/**
+ * The configuration can't be read by the holder of the duty. The record says
+ * that acknowledged commits must be kept.
+ */
+BOOST_AUTO_TEST_CASE(KeepsAcknowledgedCommitsWithoutAConfiguration)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  AdvanceBy(1s);
+  holdsDuty = false;
+  Authority::GroupSupervisor successor(time, *this, "g", Timing());
+  successor.SetDatabases({ { "a", "dc", false, 1 },
+                           { "b", "dc", true, 1 },
+                           { "c", "dc", false, 1 } });
+  successor.SetRecord(stored);
+  timer = time.Every(50ms, [&] { successor.Tick(); });
+  holdsDuty = true;
+  members["c"].status.received = { 1, 50 };
+  members["a"].isReachable = false;
+  AdvanceBy(5s);
+  BOOST_TEST(stored->primary == "b");
+  timer.reset();
+}
+
+/** Without synchronous replicas, the record is written only for changes. */
+BOOST_AUTO_TEST_CASE(WithoutSynchronousReplicasTheRecordListsNoHolders)
+{
+  supervisor.SetSyncReplicas(0);
+  Begin();
+  const std::uint64_t before = stored->version;
+  members["b"].isListed = false;
+  ListAll();
+  AdvanceBy(5s);
+  BOOST_TEST(stored->version == before);
+  BOOST_TEST(stored->logHolders.empty());
+}
+
 /**
  * A store that was restored from a copy without the group's record: a former
  * primary may not have noticed that another one replaced it.
--- a/Tests/LibAuthority/TestLeases.cpp
+++ b/Tests/LibAuthority/TestLeases.cpp
@@ -401,3 +401,20 @@
   BOOST_TEST(!GroupRecord::Parse("g", "{}", reason).has_value());
   BOOST_TEST(!GroupRecord::Parse("g", "\xff", reason).has_value());
 }
+
+/**
+ * The next holder of the duty must know which databases may have acknowledged
+ * commits. Records of groups without synchronous replicas say nothing of it.
+ */
+BOOST_AUTO_TEST_CASE(RecordKeepsItsLogHolders)
+{
+  GroupRecord record = RecordOf(3, 7);
+  BOOST_TEST(record.ToText().find("holders") == std::string::npos);
+  record.syncReplicas = 1;
+  record.logHolders = { { "a", 1700000000000 }, { "b", 0 } };
+  Core::LastReason reason;
+  const auto back = GroupRecord::Parse("g", record.ToText(), reason);
+  BOOST_REQUIRE(back.has_value());
+  BOOST_TEST(back->syncReplicas == 1);
+  BOOST_CHECK(back->logHolders == record.logHolders);
+}
