TestSyncReplicas: From the configuration to the platform's promote call

Cause: the tests of the choice of a primary don't show that the configured number of synchronous replicas reaches it.

Change: a test with real nodes, a store and databases on loopback: the primary is lost while a leaving replica has its commits and the other one has not.

--- a/Tests/Platform/NodeFixture.h
+++ b/Tests/Platform/NodeFixture.h
@@ -71,12 +71,19 @@
   void AddDatabase(const std::string& aId)
   {
     auto database = std::make_unique<StandInDatabase>(loop, "g1", aId);
-    const std::string address = database->Start().ToText();
+    addresses[aId] = database->Start().ToText();
+    databases[aId] = std::move(database);
+    List(aId, "ready");
+  }
+
+  /** Writes a database's entry into the store, as the database would. */
+  void List(const std::string& aId, const std::string& aState)
+  {
     store.Put("servers",
               aId,
-              R"({"service":"g1","address":")" + address +
-                R"(","zone":"z","slots":5,"state":"ready","born":1,"seq":1})");
-    databases[aId] = std::move(database);
+              R"({"service":"g1","address":")" + addresses.at(aId) +
+                R"(","zone":"z","slots":5,"state":")" + aState +
+                R"(","born":1,"seq":1})");
   }
 
   void Promote(const std::string& aId)
@@ -112,7 +119,8 @@
               "config",
               R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)" +
                 routes + R"(],"services":[{"name":"g1","max-conns":)" +
-                std::to_string(maxConnections) + R"(}],
+                std::to_string(maxConnections) + R"(,"sync-replicas":)" +
+                std::to_string(syncReplicas) + R"(}],
            "limits":{"tx-idle-ms":60000})" +
                 tenants + "}");
   }
@@ -277,12 +285,15 @@
 
   Core::Loop loop;
   int maxConnections = 34;
+  /** Takes effect with the next configuration; databases don't wait for it. */
+  int syncReplicas = 0;
   /** Further fields of configurations, after a comma. */
   std::string tenants;
   /** Further sections of the settings of nodes that start from now on. */
   std::string otherSettings;
   StandInStore store;
   Wire::Address storeAddress;
+  std::map<std::string, std::string> addresses;
   std::map<std::string, std::unique_ptr<StandInDatabase>> databases;
   std::unique_ptr<SlowLink> link;
   std::vector<std::unique_ptr<NodeServer>> nodes;
