LibPooler: With synchronous replicas, a leaving primary is used for a limited time

Change: the list of databases keeps when each was listed as leaving. In groups with synchronous replicas nodes choose a leaving primary until 0.5 s before that time is over (databases.leaving_ms); statements then wait like during a change of primary. At the same time a leaving replica with the complete log may take over, instead of 1.5 s earlier. A process that starts and finds a database leaving doesn't know since when, and doesn't use it as such a primary. New fields of GroupRecord stand last, since tests initialize the others by position.

--- a/Libraries/LibAuthority/PrimaryMonitor.cpp
+++ b/Libraries/LibAuthority/PrimaryMonitor.cpp
@@ -32,9 +32,6 @@
  */
 constexpr Core::Duration kLeavingCheckInterval = std::chrono::milliseconds(200);
 
-/** Covers a whole change of primary while the old one serves. */
-constexpr Core::Duration kHandOverTime = std::chrono::milliseconds(1500);
-
 } // namespace
 
 PrimaryMonitor::PrimaryMonitor(Core::Scheduler& aScheduler,
@@ -215,9 +212,9 @@
   if (now < nextLeavingCheck_ || !position_)
     return;
   nextLeavingCheck_ = now + kLeavingCheckInterval;
-  const bool isAboutToEnd =
-    leavingSince_ && now - *leavingSince_ > timing_.leavingTime - kHandOverTime;
-  SwitchOverOnceReceived("leaving", isAboutToEnd);
+  const bool isOutOfUse =
+    leavingSince_ && now - *leavingSince_ > timing_.leavingTime;
+  SwitchOverOnceReceived("leaving", isOutOfUse);
 }
 
 void
--- a/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupRecord.h
@@ -52,16 +52,6 @@
   std::optional<PrimaryChange> change;
   /** The starts of the most recent terms, oldest first. */
   std::vector<TermStart> starts;
-  /**
-   * How many replicas must have received a commit before the primary
-   * acknowledges it, when this record was written.
-   */
-  int syncReplicas = 0;
-  /**
-   * Each acknowledged commit is held by the primary and as many others of these
-   * as `syncReplicas` says. Empty without synchronous replicas.
-   */
-  std::vector<LogHolder> logHolders;
   /** The version of the store row that holds this record. */
   std::uint64_t version = 0;
   /**
@@ -78,6 +68,17 @@
    */
   bool isOverwritten = false;
 
+  /**
+   * How many replicas must have received a commit before the primary
+   * acknowledges it, when this record was written.
+   */
+  int syncReplicas = 0;
+  /**
+   * Each acknowledged commit is held by the primary and as many others of these
+   * as `syncReplicas` says. Empty without synchronous replicas.
+   */
+  std::vector<LogHolder> logHolders{};
+
   /**
    * True if this record was written in the era in which it was read. Otherwise,
    * and if it has been overwritten, the store may have lost newer records.
--- a/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/PrimaryMonitor.h
@@ -61,8 +61,9 @@
   void ConsiderSwitchover();
   /**
    * In a group with synchronous replicas: keeps a leaving primary in use until
-   * a replica that stays can take over. When the primary is about to end, a
-   * leaving replica will do: the loss of the primary would take longer.
+   * a replica that stays can take over. Once nodes may not use the primary any
+   * more, a leaving replica will do: the primary may end at any moment, and the
+   * others receive the log only from one that leads.
    */
   void ReplaceLeavingPrimary();
   /**
--- a/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
+++ b/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
@@ -145,8 +145,8 @@
    */
   Core::Duration promotionRetryInterval{ 0 };
   /**
-   * How long a database goes on serving, at least, after the platform has
-   * listed it as leaving.
+   * With synchronous replicas: how long a primary may be used after the
+   * platform has listed it as leaving.
    */
   Core::Duration leavingTime{ 0 };
 };
--- a/Libraries/LibPooler/DatabaseDirectory.cpp
+++ b/Libraries/LibPooler/DatabaseDirectory.cpp
@@ -35,11 +35,19 @@
 DatabaseDirectory::NoteLeaving(Database& aDatabase, Core::Instant aNow)
 {
   const auto known = leaving_.find(aDatabase.id);
-  const bool hasLeft = aDatabase.startedAt != 0 && known != leaving_.end() &&
-                       known->second.startedAt == aDatabase.startedAt;
+  const bool isKnown =
+    known != leaving_.end() && known->second.startedAt == aDatabase.startedAt;
+  const bool hasLeft = aDatabase.startedAt != 0 && isKnown;
   aDatabase.isLeaving = aDatabase.isLeaving || hasLeft;
-  if (aDatabase.isLeaving)
-    leaving_[aDatabase.id] = { aDatabase.startedAt, aNow };
+  if (!aDatabase.isLeaving)
+    return;
+  // One that was leaving before this process knew it may be about to end.
+  const Core::Instant firstKnown =
+    entries_.contains(aDatabase.id) ? aNow : aNow - kLeavingRetention;
+  aDatabase.leavingSince = isKnown ? known->second.since : firstKnown;
+  leaving_[aDatabase.id] = { aDatabase.startedAt,
+                             aDatabase.leavingSince,
+                             aNow };
 }
 
 void
--- a/Libraries/LibPooler/GroupRouter.cpp
+++ b/Libraries/LibPooler/GroupRouter.cpp
@@ -237,6 +237,10 @@
   const auto pool = pools_.find(record.primary);
   if (pool == pools_.end() || aRequirements.excluded.contains(record.primary))
     return std::nullopt;
+  const Database& primary = pool->second->Info();
+  if (leavingTime_ && primary.isLeaving &&
+      scheduler_.Now() - primary.leavingSince > *leavingTime_)
+    return std::nullopt;
   RoutingChoice choice;
   choice.pool = pool->second;
   choice.isPrimary = true;
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -131,7 +131,7 @@
   for (const auto& [database, route] : configuration_.routes)
     groups.try_emplace(route.group);
   for (const auto& [group, settings] : groups)
-    RouterOf(group);
+    RouterOf(group).SetLeavingTime(LeavingTimeOf(settings));
   duty_.SetGroups(std::move(groups));
   quotas_.ApplyConfiguration(configuration_);
   UpdateRouterGoals();
@@ -139,6 +139,14 @@
   UpdateConnectionShares();
 }
 
+std::optional<Core::Duration>
+Node::LeavingTimeOf(const GroupSettings& aSettings) const
+{
+  if (aSettings.syncReplicas == 0)
+    return std::nullopt;
+  return settings_.duty.supervisor.leavingTime;
+}
+
 void
 Node::ApplyDatabases(DatabaseList aDatabases)
 {
--- a/Libraries/LibPooler/include/LibPooler/DatabaseDirectory.h
+++ b/Libraries/LibPooler/include/LibPooler/DatabaseDirectory.h
@@ -41,6 +41,7 @@
   {
     /** Database::startedAt of the process that leaves. */
     std::int64_t startedAt = 0;
+    Core::Instant since{};
     Core::Instant listedAt{};
   };
   struct Entry
--- a/Libraries/LibPooler/include/LibPooler/Fleet.h
+++ b/Libraries/LibPooler/include/LibPooler/Fleet.h
@@ -110,6 +110,8 @@
   /** The number of statements that the database runs at once. */
   int slots = 1;
   bool isLeaving = false;
+  /** When this process learned that the database is leaving. */
+  Core::Instant leavingSince{};
   /** Start time in Unix milliseconds; each start has a different log. */
   std::int64_t startedAt = 0;
 };
--- a/Libraries/LibPooler/include/LibPooler/GroupRouter.h
+++ b/Libraries/LibPooler/include/LibPooler/GroupRouter.h
@@ -86,6 +86,14 @@
   void SetConnectionLimit(int aLimit);
   int ConnectionLimit() const { return connectionLimit_; }
   void SetGoals(const GroupGoals& aGoals) { goals_ = aGoals; }
+  /**
+   * Sets how long a leaving primary may be used; none: until it is replaced,
+   * which then begins at once.
+   */
+  void SetLeavingTime(std::optional<Core::Duration> aTime)
+  {
+    leavingTime_ = aTime;
+  }
 
   /**
    * Processes a record that the store held at some time after aRequestedAt.
@@ -184,6 +192,7 @@
   std::map<std::string, std::shared_ptr<ConnectionPool>> pools_;
   int connectionLimit_ = 1;
   GroupGoals goals_;
+  std::optional<Core::Duration> leavingTime_;
   /** Shared by the pools; null unless capacity is learned. */
   std::shared_ptr<Admission::WorkTimes> workTimes_;
   Admission::ReadBalancer balancer_;
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -191,6 +191,9 @@
                Core::Instant aRequestedAt);
   GroupRouter& RouterOf(const std::string& aName);
   void UpdateRouterDatabases();
+  /** How long a group's leaving primary may be used; none: no limit. */
+  std::optional<Core::Duration> LeavingTimeOf(
+    const GroupSettings& aSettings) const;
   void UpdateRouterGoals();
   void UpdateConnectionShares();
   void UpdateConnectionShare(GroupRouter& aRouter,
--- a/Libraries/LibSettings/NodeSettingsTable.cpp
+++ b/Libraries/LibSettings/NodeSettingsTable.cpp
@@ -14,6 +14,9 @@
 /** A shorter lease can't cover the whole call to promote a database. */
 constexpr std::int64_t kMinDutyLeaseMilliseconds = 1600;
 
+/** Leaves time to use a leaving database at all. */
+constexpr std::int64_t kMinLeavingMilliseconds = 1000;
+
 /** Twice the interval at which the holder of the failover duty asks. */
 constexpr std::int64_t kMinWithdrawalMilliseconds = 1000;
 
@@ -99,7 +102,7 @@
     { "databases.leaving_ms",
       SettingType::Integer,
       "ms",
-      1,
+      kMinLeavingMilliseconds,
       kMaxMilliseconds,
       "7000",
       "How long a database serves at least once it is listed as leaving." },
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -48,6 +48,9 @@
 /** Exceeds the drift between two clocks during an authority lease. */
 constexpr Core::Duration kClockMargin = std::chrono::milliseconds(200);
 
+/** Covers the delay of the platform's list and of statements under way. */
+constexpr Core::Duration kLeavingMargin = std::chrono::milliseconds(500);
+
 Authority::SupervisorTiming
 ToSupervisorTiming(const Settings::ProcessSettings& aSettings,
                    const Authority::AuthorityLease& aAuthorityLease)
@@ -62,7 +65,8 @@
   timing.choiceTimeout = milliseconds(400);
   timing.promoteTimeout = kPromoteTimeout;
   timing.promotionRetryInterval = milliseconds(3000);
-  timing.leavingTime = milliseconds(aSettings.Integer("databases.leaving_ms"));
+  timing.leavingTime =
+    milliseconds(aSettings.Integer("databases.leaving_ms")) - kLeavingMargin;
   return timing;
 }
 
--- a/Tests/LibPooler/TestConnectionPool.cpp
+++ b/Tests/LibPooler/TestConnectionPool.cpp
@@ -347,6 +347,27 @@
   BOOST_TEST(directory.List().empty());
 }
 
+/**
+ * A leaving database may be used for a limited time, which must not begin anew
+ * when it is listed again. A process that starts doesn't know when it began.
+ */
+BOOST_AUTO_TEST_CASE(LeavingEntryKeepsItsTime)
+{
+  Pooler::DatabaseDirectory directory;
+  const Core::Instant start{ 100s };
+  Pooler::Database database;
+  database.id = "a";
+  database.startedAt = 7;
+  directory.Set("a", database, start);
+  database.isLeaving = true;
+  for (const Core::Duration after : { 1s, 5s })
+    directory.Set("a", database, start + after);
+  BOOST_CHECK(directory.List().at("a").leavingSince == start + 1s);
+  database.id = "b";
+  directory.Set("b", database, start + 5s);
+  BOOST_CHECK(directory.List().at("b").leavingSince < start);
+}
+
 /** What the list says of a database that was leaving a moment before. */
 struct RestoredEntryCase
 {
--- a/Tests/LibPooler/TestNode.cpp
+++ b/Tests/LibPooler/TestNode.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t kRecordVersion = 20;
 constexpr Core::Duration kWithdrawal = 5s;
 
+constexpr Core::Duration kLeavingTime = 3000ms;
+
 /** A node without a network: the store accepts all writes, peers are silent. */
 class Fixture
   : public Authority::CoordinationStore
@@ -56,6 +58,7 @@
     settings.duty.supervisor.probeInterval = 250ms;
     settings.duty.supervisor.probeTimeout = 500ms;
     settings.duty.supervisor.silenceLimit = 900ms;
+    settings.duty.supervisor.leavingTime = kLeavingTime;
     settings.connectionShare = 0.7;
     settings.keys = { true, kWithdrawal };
     return settings;
@@ -86,11 +89,13 @@
 
   void ListDatabases(const std::string& aLeaving)
   {
+    const Core::Instant now = time.Now();
     Pooler::DatabaseList list;
     for (const std::string id : { "p", "a", "b" }) {
       list[id].id = id;
       list[id].group = "g";
       list[id].isLeaving = id == aLeaving;
+      list[id].leavingSince = now;
     }
     node.ApplyDatabases(list);
   }
@@ -304,6 +309,27 @@
   }
 }
 
+/**
+ * Guards against statements that are sent to a primary whose time to leave is
+ * over: with synchronous replicas it stays primary for as long as no replica
+ * can take over, and may end at any moment.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       ALeavingPrimaryIsUsedForALimitedTime,
+                       boost::unit_test::data::make({ 0, 1 }))
+{
+  Pooler::Configuration configuration = MakeConfiguration(6, "shop");
+  configuration.groups["g"].syncReplicas = sample;
+  node.ApplyConfiguration(configuration);
+  RegisterNode();
+  ListDatabases("p");
+  AdvanceBy(kLeavingTime - 100ms);
+  BOOST_TEST(node.FindRouter("g")->Choose({}).has_value());
+  AdvanceBy(200ms);
+  const bool isLimited = sample > 0;
+  BOOST_TEST(node.FindRouter("g")->Choose({}).has_value() != isLimited);
+}
+
 BOOST_AUTO_TEST_CASE(ResponsesToRequestsBeforeRegistrationGiveNoAuthority)
 {
   const Core::Instant before = time.Now();
