LibPooler: A gauge for choices that wait; Node.cpp and FailoverDuty.cpp split

Cause: a group whose change of primary waits for silent databases had a log line, but nothing to alert on.

Change: primary_choices_waiting counts such groups at the holder of the duty. The handling of the store's rows and of peers' messages stands in NodeRows.cpp and NodePeers.cpp, what the platform listed last of each database in LastListings; moved, not changed.

Evidence: TestSynchronousGroups/WaitsForAReplicaThatIsNoLongerListed checks the state that is counted; TestFailoverDuty's rows on ended databases and all others of ctest (release, 53 programs of 58) pass.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -102,6 +102,7 @@
   stage_ = aStage;
   stageSince_ = scheduler_.Now();
   ++epoch_;
+  isChoiceWaiting_ = false;
   monitor_.Interrupt();
   logHolders_.Interrupt();
   promotion_.Interrupt();
@@ -407,6 +408,7 @@
 GroupSupervisor::WaitForSilentDatabases()
 {
   const Core::Instant now = scheduler_.Now();
+  isChoiceWaiting_ = true;
   poll_.SlowDown();
   if (now < nextWaitReport_)
     return;
--- a/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
+++ b/Libraries/LibAuthority/include/LibAuthority/GroupSupervisor.h
@@ -58,6 +58,9 @@
     return stage_ != Stage::Monitoring && stage_ != Stage::Surveying;
   }
 
+  /** True while no candidate is chosen since databases are silent. */
+  bool IsChoiceWaiting() const { return isChoiceWaiting_; }
+
   /** Runs due actions; to be called several times per second. */
   void Tick();
 
@@ -128,6 +131,7 @@
   /** Incremented with every stage; replies of earlier stages are ignored. */
   std::uint64_t epoch_ = 0;
   bool heldDuty_ = false;
+  bool isChoiceWaiting_ = false;
   Core::Instant nextWaitReport_ = Core::Instant::min();
   Core::Instant nextSurvey_ = Core::Instant::min();
   /** The end of the old primary's log after it stepped down. */
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -102,13 +102,7 @@
   std::set<std::string> primaries;
   for (const auto& [group, primary] : primaries_)
     primaries.insert(primary);
-  std::erase_if(lastListings_, [&](const auto& aEntry) {
-    return !databases_.contains(aEntry.first) &&
-           !primaries.contains(aEntry.first);
-  });
-  for (const auto& [id, database] : databases_)
-    lastListings_[id] = { { database.host, database.port },
-                          database.startedAt };
+  lastListings_.Set(databases_, primaries);
   control_.SetDatabases(aDatabases);
   UpdateSupervisors();
 }
@@ -251,6 +245,15 @@
     });
 }
 
+std::size_t
+FailoverDuty::WaitingChoices() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    supervisors_.begin(), supervisors_.end(), [](const auto& aEntry) {
+      return aEntry.second->IsChoiceWaiting();
+    }));
+}
+
 void
 FailoverDuty::Release()
 {
@@ -326,18 +329,7 @@
 bool
 FailoverDuty::HasEnded(const std::string& aId) const
 {
-  const auto known = lastListings_.find(aId);
-  if (known == lastListings_.end())
-    return false;
-  // Only one process can listen on an address. If another database that started
-  // later is listed at this one's last address, this one has ended. An earlier
-  // one may be listed there by a store that was restored from an older copy.
-  return std::any_of(
-    databases_.begin(), databases_.end(), [&](const auto& aEntry) {
-      const Listing& other = lastListings_.at(aEntry.first);
-      return aEntry.first != aId && other.address == known->second.address &&
-             other.startedAt >= known->second.startedAt;
-    });
+  return lastListings_.HasEnded(aId);
 }
 
 bool
--- a/Libraries/LibPooler/Node.cpp
+++ b/Libraries/LibPooler/Node.cpp
@@ -9,18 +9,9 @@
 
 namespace {
 
-/** The key prefix of group records; members have their own prefix. */
-constexpr std::string_view kGroupPrefix = "group/";
-
-/** Counts rows of the system's own table that can't be read. */
-constexpr const char* kUnreadableRows = "rows_unreadable_total{table=\"own\"}";
-
 /** How often the node checks leases, groups and overload. */
 constexpr Core::Duration kTickInterval = std::chrono::milliseconds(50);
 
-/** A primary that has responded within this time counts as reached. */
-constexpr Core::Duration kMaxReachedAge = std::chrono::milliseconds(700);
-
 /**
  * Without a response of the store for this long, a node requests the records
  * from a peer.
@@ -40,12 +31,6 @@
  */
 constexpr Core::Duration kMaxCheckoutIdle = std::chrono::seconds(30);
 
-bool
-StartsWith(std::string_view aText, std::string_view aPrefix)
-{
-  return aText.substr(0, aPrefix.size()) == aPrefix;
-}
-
 } // namespace
 
 Node::Node(Core::Scheduler& aScheduler,
@@ -330,113 +315,6 @@
   return Wire::Address{ database->second.host, database->second.port };
 }
 
-void
-Node::ApplyOwnRows(const Authority::FollowedRows& aRows)
-{
-  if (aRows.isSnapshot) {
-    duty_.OnSnapshotBegins(aRows.version);
-    membership_.BeginReload();
-  }
-  for (const Authority::StoredRow& row : aRows.rows)
-    ApplyMemberRow(row);
-  // These rows may show that this node is expelled, and so isn't asked before a
-  // primary is replaced. Then they grant no authority.
-  membership_.CheckSelf();
-  // Statements that wait for authority run as soon as it is granted, with the
-  // connections that this node may open by then.
-  if (!aRows.rows.empty())
-    UpdateConnectionShares();
-  const bool mayGrantAuthority = membership_.CoversRequest(aRows.requestedAt);
-  const Core::Instant requestedAt =
-    mayGrantAuthority ? aRows.requestedAt : Authority::kNoRequestTime;
-  for (const Authority::StoredRow& row : aRows.rows)
-    ApplyGroupRow(row, requestedAt);
-  if (aRows.isSnapshot)
-    NoteForgottenRecords(aRows.version);
-  hasRows_ = true;
-  lastStoreRequestAt_ = std::max(lastStoreRequestAt_, aRows.requestedAt);
-  for (auto& [name, router] : routers_)
-    router->RenewAuthority(requestedAt);
-  duty_.OnRowsApplied(aRows.version);
-  if (!aRows.rows.empty())
-    UpdateRelays();
-}
-
-void
-Node::NoteForgottenRecords(std::uint64_t aVersion)
-{
-  const std::uint64_t era = Authority::StoreEraOf(aVersion);
-  for (auto& [name, router] : routers_) {
-    const auto& known = router->Authority().Record();
-    if (!known || Authority::StoreEraOf(known->version) >= era)
-      continue;
-    Authority::GroupRecord missing = *known;
-    missing.version = Authority::MakeStoreVersion(era, 0);
-    Observe(missing, Authority::kNoRequestTime);
-  }
-}
-
-void
-Node::ApplyMemberRow(const Authority::StoredRow& aRow)
-{
-  if (StartsWith(aRow.key, MemberRoster::kKeyPrefix) &&
-      !membership_.Apply(aRow))
-    metrics_.Count(kUnreadableRows);
-}
-
-void
-Node::ApplyGroupRow(const Authority::StoredRow& aRow,
-                    Core::Instant aRequestedAt)
-{
-  if (!StartsWith(aRow.key, kGroupPrefix))
-    return;
-  const std::string name = aRow.key.substr(kGroupPrefix.size());
-  Core::LastReason reason;
-  auto record = Authority::GroupRecord::Parse(name, aRow.value, reason);
-  if (!record) {
-    metrics_.Count(kUnreadableRows);
-    log_("group_record_unreadable", { { "reason", reason.Text() } });
-    NoteOverwrittenRecord(name, aRow.version);
-    return;
-  }
-  record->version = aRow.version;
-  Observe(*record, aRequestedAt);
-}
-
-void
-Node::NoteOverwrittenRecord(const std::string& aGroup, std::uint64_t aVersion)
-{
-  // A group without a router was never configured, nor had a record.
-  const GroupRouter* router = FindRouter(aGroup);
-  if (router == nullptr)
-    return;
-  duty_.SetUnreadable(aGroup, aVersion);
-  const auto& known = router->Authority().Record();
-  if (!known)
-    return;
-  Authority::GroupRecord overwritten = *known;
-  overwritten.version = aVersion;
-  overwritten.isOverwritten = true;
-  Observe(overwritten, Authority::kNoRequestTime);
-}
-
-void
-Node::Observe(const Authority::GroupRecord& aRecord, Core::Instant aRequestedAt)
-{
-  GroupRouter& router = RouterOf(aRecord.group);
-  const bool isNew = router.ObserveRecord(aRecord, aRequestedAt);
-  const Authority::GroupRecord& known = *router.Authority().Record();
-  if (isNew)
-    log_("group_record",
-         { { "group", known.group },
-           { "primary", known.primary },
-           { "term", known.term },
-           { "changing", known.change.has_value() },
-           { "version", known.version },
-           { "of_current_era", known.IsOfCurrentEra() } });
-  duty_.SetRecord(known);
-}
-
 bool
 Node::IsReady() const
 {
@@ -519,118 +397,6 @@
                                      keys_.ProvenAt(configuration_));
 }
 
-bool
-Node::IsNotifiedOfChanges() const
-{
-  if (duty_.Holds())
-    return duty_.KnowsAllChanges() && membership_.HasResponsiveMembers();
-  return scheduler_.Now() - Membership::kHeartbeatTimeout < holderConfirmedAt_;
-}
-
-void
-Node::FetchRecordsFromPeer()
-{
-  const std::vector<Member> others = membership_.Others();
-  if (isFetchingFromPeer_ || others.empty())
-    return;
-  isFetchingFromPeer_ = true;
-  const Core::Instant requestedAt = scheduler_.Now();
-  links_.peers.FetchRecords(
-    others[nextPeer_++ % others.size()],
-    memberKey_,
-    [this, requestedAt](const std::vector<RelayedRecord>& aRecords) {
-      isFetchingFromPeer_ = false;
-      OnRelayedRecords(aRecords, requestedAt);
-    });
-}
-
-void
-Node::OnRelayedRecords(const std::vector<RelayedRecord>& aRecords,
-                       Core::Instant aRequestedAt)
-{
-  for (const RelayedRecord& relayed : aRecords) {
-    // The peer responded after aRequestedAt, so counting the age back from
-    // aRequestedAt gives a time no later than the peer's store request.
-    Core::Instant requestedAt = Authority::kNoRequestTime;
-    if (relayed.age && membership_.CoversRequest(aRequestedAt - *relayed.age))
-      requestedAt = aRequestedAt - *relayed.age;
-    Observe(relayed.record, requestedAt);
-  }
-}
-
-void
-Node::RenewByHeartbeat(const Heartbeat& aHeartbeat)
-{
-  const bool isAddressee = aHeartbeat.receiver == memberKey_;
-  if (!isAddressee || !aHeartbeat.echo || !aHeartbeat.newestRecord ||
-      !membership_.CoversRequest(*aHeartbeat.echo))
-    return;
-  holderConfirmedAt_ = scheduler_.Now();
-  const RecordVersions& records = duty_.Records();
-  const bool hasNewest = records.Newest() == *aHeartbeat.newestRecord;
-  // A node may lack one group's record and know a later one of another group.
-  const bool hasAll =
-    hasNewest &&
-    records.Digest() == aHeartbeat.recordsDigest.value_or(records.Digest());
-  const bool mayLackRecords =
-    records.Newest() < *aHeartbeat.newestRecord || (hasNewest && !hasAll);
-  if (mayLackRecords && feeds_ != nullptr)
-    feeds_->RefreshOwnRows();
-  if (!hasAll)
-    return;
-  for (auto& [name, router] : routers_)
-    router->RenewAuthority(*aHeartbeat.echo);
-}
-
-HeartbeatResponse
-Node::OnHeartbeat(const Heartbeat& aHeartbeat)
-{
-  membership_.OnHeartbeat(aHeartbeat);
-  quotas_.OnHeartbeat(aHeartbeat);
-  RenewByHeartbeat(aHeartbeat);
-  keys_.OnHeartbeat(aHeartbeat, memberKey_, configuration_, scheduler_.Now());
-  HeartbeatResponse response;
-  if (feeds_ != nullptr) {
-    feeds_->OnSeenByPeer(aHeartbeat.seen);
-    response.seen = feeds_->Seen();
-  }
-  const Core::Instant now = scheduler_.Now();
-  response.delivery = PeerDelivery::Answered;
-  response.clock = now;
-  response.overloadedGroups = overload_.Overloaded();
-  for (const auto& [name, router] : routers_) {
-    const auto newest = router->Samples().Newest();
-    if (newest && now - *newest < kMaxReachedAge)
-      response.reachedGroups.insert(name);
-  }
-  return response;
-}
-
-void
-Node::OnRecord(const Authority::GroupRecord& aRecord)
-{
-  Observe(aRecord, Authority::kNoRequestTime);
-}
-
-std::vector<RelayedRecord>
-Node::RecordsFor(const std::string& aMemberKey) const
-{
-  const Member* requester = membership_.Roster().Find(aMemberKey);
-  const bool isMember = requester != nullptr && !requester->isExpelled;
-  const Core::Instant now = scheduler_.Now();
-  std::vector<RelayedRecord> records;
-  for (const auto& [name, router] : routers_) {
-    const Authority::PrimaryAuthority& authority = router->Authority();
-    if (!authority.Record())
-      continue;
-    RelayedRecord relayed{ *authority.Record(), std::nullopt };
-    if (isMember && authority.Holds(now))
-      relayed.age = now - authority.RequestedAt();
-    records.push_back(std::move(relayed));
-  }
-  return records;
-}
-
 const Route*
 Node::FindRoute(std::string_view aDatabase) const
 {
@@ -672,6 +438,8 @@
   metrics_.Set("configuration_version",
                static_cast<std::int64_t>(configuration_.version));
   metrics_.Set("holds_duty", duty_.Holds() ? 1 : 0);
+  metrics_.Set("primary_choices_waiting",
+               static_cast<std::int64_t>(duty_.WaitingChoices()));
   keys_.UpdateGauges(configuration_, scheduler_.Now());
   quotas_.UpdateGauges(metrics_);
   for (const auto& [name, router] : routers_) {
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -5,6 +5,7 @@
 #include <LibPooler/ControlLinks.h>
 #include <LibPooler/DutyCandidacy.h>
 #include <LibPooler/ForgottenMembers.h>
+#include <LibPooler/LastListings.h>
 #include <LibPooler/Membership.h>
 #include <LibPooler/QuotaDuty.h>
 #include <LibPooler/RecordBroadcast.h>
@@ -109,6 +110,11 @@
   /** Increases from holder to holder; 0 while this node isn't the holder. */
   std::uint64_t Term() const override { return Holds() ? lease_.Token() : 0; }
   bool KnowsAllMembers() const override;
+  /**
+   * The number of groups without a primary whose choice waits for silent
+   * databases; 0 while this node isn't the holder.
+   */
+  std::size_t WaitingChoices() const;
   /** The versions of all records that SetRecord was called with. */
   const RecordVersions& Records() const { return records_; }
 
@@ -132,14 +138,6 @@
     Core::TimerHandle timer;
   };
 
-  /** What the platform's list says about a database's process. */
-  struct Listing
-  {
-    Wire::Address address;
-    /** Database::startedAt. */
-    std::int64_t startedAt = 0;
-  };
-
   /** The newest record of a group, on its way to the members. */
   struct Announcement
   {
@@ -206,11 +204,7 @@
   DatabaseList databases_;
   /** The groups that the configuration names. */
   GroupSettingsMap groups_;
-  /**
-   * The listed databases, and the last listings of primaries that are no
-   * longer listed.
-   */
-  std::map<std::string, Listing> lastListings_;
+  LastListings lastListings_;
   /** Each group's primary according to its record. */
   std::map<std::string, std::string> primaries_;
   std::map<std::string, std::unique_ptr<Authority::GroupSupervisor>>
--- a/Tests/LibAuthority/TestSynchronousGroups.cpp
+++ b/Tests/LibAuthority/TestSynchronousGroups.cpp
@@ -250,8 +250,10 @@
   ListAll();
   AdvanceBy(5s);
   BOOST_TEST(promoted.empty());
+  BOOST_TEST(supervisor.IsChoiceWaiting());
   holdsDuty = false;
   AdvanceBy(100ms);
+  BOOST_TEST(!supervisor.IsChoiceWaiting());
   Authority::GroupSupervisor successor(time, *this, "g", Timing());
   successor.SetDatabases({ { "a", "dc", false, 1 }, { "c", "dc", false, 1 } });
   successor.SetRecord(stored);
