LibAuthority: A replica that is only cut off from the platform's list still counts

What callers would see: with synchronous replicas, acknowledged writes gone after their primary crashed.

Cause: a log holder that was no longer listed was removed as soon as the other replica had all commits. It may only be cut off from the platform's store; while it receives further commits and the other replica doesn't, it is the only one that has them. Besides, the reply of a database that restarted in the middle of a choice was kept.

Change: LogHolderTracker asks such a holder at its last known address and keeps it while it answers. ControlLinks remembers where unlisted databases were; nothing but their status is asked there. A restart discards the reply.

--- a/Libraries/LibAuthority/GroupSupervisor.cpp
+++ b/Libraries/LibAuthority/GroupSupervisor.cpp
@@ -65,6 +65,11 @@
 void
 GroupSupervisor::SetDatabases(std::vector<SupervisedDatabase> aDatabases)
 {
+  for (const SupervisedDatabase& database : aDatabases) {
+    const SupervisedDatabase* known = group_.Find(database.id);
+    if (known == nullptr || known->startedAt != database.startedAt)
+      poll_.Forget(database.id);
+  }
   group_.databases = std::move(aDatabases);
   monitor_.OnGroupChanged();
 }
--- a/Libraries/LibAuthority/include/LibAuthority/LogHolderTracker.h
+++ b/Libraries/LibAuthority/include/LibAuthority/LogHolderTracker.h
@@ -15,9 +15,10 @@
  * with synchronous replicas.
  *
  * A database process is added as soon as it is listed. One that is no longer
- * listed is removed only once enough others have received everything that the
- * primary had acknowledged while it was still there: until then, it may be the
- * only one besides the primary that has some commits.
+ * listed is removed only once it doesn't answer, and enough others have
+ * received everything that the primary had acknowledged while it was still
+ * there: until then, it may be the only one besides the primary that has some
+ * commits.
  */
 class LogHolderTracker
 {
@@ -38,22 +39,29 @@
   void Interrupt() { round_.reset(); }
 
 private:
-  /** Finds out whether the holders that have gone are still needed. */
+  /** Finds out which of the holders that have gone are still needed. */
   struct Round
   {
-    /** The holders that were listed when the round began. */
-    std::vector<LogHolder> listed;
+    /** Those that are listed, or that answer although they aren't. */
+    std::vector<LogHolder> present;
+    /** The requests to unlisted holders without an outcome so far. */
+    int pending = 0;
     /** The replicas that have received what the primary had by then. */
     int received = 0;
   };
+  using RoundHandle = std::shared_ptr<Round>;
 
   void Write(std::vector<LogHolder> aHolders);
   void BeginRound(std::vector<LogHolder> aListed);
-  void OnPrimaryStatus(const std::shared_ptr<Round>& aRound,
+  void OnUnlistedProbe(const RoundHandle& aRound,
+                       const LogHolder& aHolder,
+                       const ProbeOutcome& aOutcome);
+  void AskPrimary(const RoundHandle& aRound);
+  void OnPrimaryStatus(const RoundHandle& aRound,
+                       const Sql::DatabaseStatus& aStatus);
+  void OnReplicaStatus(Round& aRound,
+                       const Session::LogPosition& aNeeded,
                        const Sql::DatabaseStatus& aStatus);
-  void AskReplicas(const std::shared_ptr<Round>& aRound,
-                   const Session::LogPosition& aNeeded);
-  void OnReceived(Round& aRound);
 
   Core::Scheduler& scheduler_;
   SupervisorPort& port_;
@@ -61,7 +69,7 @@
   const SupervisorTiming& timing_;
   WriteHandler write_;
   /** Replies of other rounds are ignored. */
-  std::shared_ptr<Round> round_;
+  RoundHandle round_;
   Core::Instant nextRound_ = Core::Instant::min();
   Core::Instant nextWrite_ = Core::Instant::min();
 };
--- a/Libraries/LibAuthority/include/LibAuthority/StatusPoll.h
+++ b/Libraries/LibAuthority/include/LibAuthority/StatusPoll.h
@@ -21,6 +21,8 @@
 
   /** Forgets all replies; those to earlier requests are ignored. */
   void Reset();
+  /** Forgets the reply of a database that has restarted. */
+  void Forget(const std::string& aId) { statuses_.erase(aId); }
   /** Sends the requests that are due. */
   void Tick();
   /**
--- a/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
+++ b/Libraries/LibAuthority/include/LibAuthority/SupervisorPort.h
@@ -77,6 +77,14 @@
                      Core::Duration aTimeout,
                      ProbeHandler aDone) = 0;
 
+  /**
+   * Requests the status of a database that the platform no longer lists, at its
+   * last known address. Passes no status if this node never saw it listed.
+   */
+  virtual void ProbeUnlisted(const std::string& aId,
+                             Core::Duration aTimeout,
+                             ProbeHandler aDone) = 0;
+
   /**
    * Demotes a database to a replica if it is primary of a term below aTerm.
    * Passes its status afterwards. Sends nothing, and passes no status, unless
--- a/Libraries/LibPooler/ControlLinks.cpp
+++ b/Libraries/LibPooler/ControlLinks.cpp
@@ -4,6 +4,13 @@
 
 namespace Pooler {
 
+namespace {
+
+/** Far more databases than disappear from the list within minutes. */
+constexpr std::size_t kMaxUnlisted = 1000;
+
+} // namespace
+
 struct ControlLinks::PendingCommand
 {
   std::string id;
@@ -35,11 +42,20 @@
            now->second.host != before->second.host ||
            now->second.port != before->second.port;
   });
+  for (const auto& [id, database] : databases_) {
+    if (!aDatabases.contains(id))
+      unlisted_[id] = database;
+  }
+  std::erase_if(unlisted_, [&](const auto& aEntry) {
+    return aDatabases.contains(aEntry.first);
+  });
+  while (unlisted_.size() > kMaxUnlisted)
+    unlisted_.erase(unlisted_.begin());
   databases_ = aDatabases;
 }
 
-void
-ControlLinks::SendCommand(const std::string& aId,
+ControlLinks::Pending
+ControlLinks::MakePending(const std::string& aId,
                           const Sql::DatabaseCommand& aCommand,
                           Core::Duration aTimeout,
                           Authority::SupervisorPort::ProbeHandler aDone)
@@ -57,25 +73,54 @@
       links_.erase(expired->id);
       Finish(expired, {});
     });
-  if (!databases_.contains(aId)) {
-    scheduler_.Defer([this, alive = alive_, pending] {
+  return pending;
+}
+
+void
+ControlLinks::SendCommand(const std::string& aId,
+                          const Sql::DatabaseCommand& aCommand,
+                          Core::Duration aTimeout,
+                          Authority::SupervisorPort::ProbeHandler aDone)
+{
+  const auto database = databases_.find(aId);
+  Start(MakePending(aId, aCommand, aTimeout, std::move(aDone)),
+        database == databases_.end() ? nullptr : &database->second);
+}
+
+void
+ControlLinks::SendStatusToUnlisted(
+  const std::string& aId,
+  Core::Duration aTimeout,
+  Authority::SupervisorPort::ProbeHandler aDone)
+{
+  const auto database = unlisted_.find(aId);
+  Start(
+    MakePending(
+      aId, { .kind = Sql::CommandKind::Status }, aTimeout, std::move(aDone)),
+    database == unlisted_.end() ? nullptr : &database->second);
+}
+
+void
+ControlLinks::Start(const Pending& aPending, const Database* aDatabase)
+{
+  if (aDatabase == nullptr) {
+    scheduler_.Defer([this, alive = alive_, aPending] {
       if (*alive)
-        Finish(pending, {});
+        Finish(aPending, {});
     });
     return;
   }
-  if (links_.contains(aId))
-    Send(pending);
+  if (links_.contains(aPending->id))
+    Send(aPending);
   else
-    Dial(pending);
+    Dial(aPending, *aDatabase);
 }
 
 void
-ControlLinks::Dial(const std::shared_ptr<PendingCommand>& aPending)
+ControlLinks::Dial(const Pending& aPending, const Database& aDatabase)
 {
-  const Database& database = databases_.at(aPending->id);
   dialer_.Dial(
-    { database.id, database.group, database.host, database.port },
+    { aDatabase.id, aDatabase.group, aDatabase.host, aDatabase.port },
     [this, alive = alive_, aPending](const Sql::DialOutcome& aOutcome) {
       if (!*alive)
         return;
@@ -98,7 +143,7 @@
 }
 
 void
-ControlLinks::Send(const std::shared_ptr<PendingCommand>& aPending)
+ControlLinks::Send(const Pending& aPending)
 {
   if (aPending->done == nullptr)
     return;
@@ -116,7 +161,7 @@
 }
 
 void
-ControlLinks::Finish(const std::shared_ptr<PendingCommand>& aPending,
+ControlLinks::Finish(const Pending& aPending,
                      const Authority::ProbeOutcome& aOutcome)
 {
   aPending->timeout.reset();
--- a/Libraries/LibPooler/FailoverDuty.cpp
+++ b/Libraries/LibPooler/FailoverDuty.cpp
@@ -326,12 +326,6 @@
   return !areManyUnknown || aSilence > kPartitionTimeout;
 }
 
-bool
-FailoverDuty::HasEnded(const std::string& aId) const
-{
-  return lastListings_.HasEnded(aId);
-}
-
 bool
 FailoverDuty::IsOverloaded(const std::string& aGroup) const
 {
@@ -357,6 +351,14 @@
     aId, { .kind = Sql::CommandKind::Status }, aTimeout, std::move(aDone));
 }
 
+void
+FailoverDuty::ProbeUnlisted(const std::string& aId,
+                            Core::Duration aTimeout,
+                            ProbeHandler aDone)
+{
+  control_.SendStatusToUnlisted(aId, aTimeout, std::move(aDone));
+}
+
 void
 FailoverDuty::StepDown(const std::string& aId,
                        Session::Term aTerm,
--- a/Libraries/LibPooler/include/LibPooler/ControlLinks.h
+++ b/Libraries/LibPooler/include/LibPooler/ControlLinks.h
@@ -31,19 +31,35 @@
                    Core::Duration aTimeout,
                    Authority::SupervisorPort::ProbeHandler aDone);
 
+  /**
+   * Requests the status of a database that isn't listed any more, at its last
+   * known address. The outcome is empty without a reply of this database.
+   */
+  void SendStatusToUnlisted(const std::string& aId,
+                            Core::Duration aTimeout,
+                            Authority::SupervisorPort::ProbeHandler aDone);
+
   /** Closes all connections. */
   void CloseAll() { links_.clear(); }
 
 private:
   struct PendingCommand;
-  void Dial(const std::shared_ptr<PendingCommand>& aPending);
-  void Send(const std::shared_ptr<PendingCommand>& aPending);
-  void Finish(const std::shared_ptr<PendingCommand>& aPending,
-              const Authority::ProbeOutcome& aOutcome);
+  using Pending = std::shared_ptr<PendingCommand>;
+  Pending MakePending(const std::string& aId,
+                      const Sql::DatabaseCommand& aCommand,
+                      Core::Duration aTimeout,
+                      Authority::SupervisorPort::ProbeHandler aDone);
+  /** Sends to aDatabase; if it is null, fails. */
+  void Start(const Pending& aPending, const Database* aDatabase);
+  void Dial(const Pending& aPending, const Database& aDatabase);
+  void Send(const Pending& aPending);
+  void Finish(const Pending& aPending, const Authority::ProbeOutcome& aOutcome);
 
   Core::Scheduler& scheduler_;
   Sql::DatabaseDialer& dialer_;
   DatabaseList databases_;
+  /** The last listings of databases that aren't listed any more. */
+  DatabaseList unlisted_;
   std::map<std::string, std::shared_ptr<Sql::DatabaseLink>> links_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -161,11 +161,17 @@
   bool HoldsDuty(Core::Duration aMargin) const override;
   bool IsUnreachableByPeers(const std::string& aGroup,
                             Core::Duration aSilence) const override;
-  bool HasEnded(const std::string& aId) const override;
+  bool HasEnded(const std::string& aId) const override
+  {
+    return lastListings_.HasEnded(aId);
+  }
   bool IsOverloaded(const std::string& aGroup) const override;
   void Probe(const std::string& aId,
              Core::Duration aTimeout,
              ProbeHandler aDone) override;
+  void ProbeUnlisted(const std::string& aId,
+                     Core::Duration aTimeout,
+                     ProbeHandler aDone) override;
   void StepDown(const std::string& aId,
                 Session::Term aTerm,
                 Core::Duration aTimeout,
--- a/Tests/LibAuthority/SupervisorFixture.h
+++ b/Tests/LibAuthority/SupervisorFixture.h
@@ -104,6 +104,12 @@
       aDone(outcome);
     });
   }
+  void ProbeUnlisted(const std::string& aId,
+                     Core::Duration aTimeout,
+                     ProbeHandler aDone) override
+  {
+    Probe(aId, aTimeout, std::move(aDone));
+  }
   void StepDown(const std::string& aId,
                 Session::Term aTerm,
                 Core::Duration aTimeout,
--- a/Tests/LibAuthority/TestSynchronousGroups.cpp
+++ b/Tests/LibAuthority/TestSynchronousGroups.cpp
@@ -218,6 +218,7 @@
   Begin();
   AdvanceBy(1s);
   members["c"].status.received = { 1, sample.received };
+  members["b"].isReachable = false;
   members["b"].isListed = false;
   ListAll();
   AdvanceBy(2s);
@@ -269,6 +270,53 @@
   timer.reset();
 }
 
+/**
+ * Guards against a promotion that loses acknowledged commits because a replica
+ * that is only cut off from the platform's list was taken for gone while the
+ * other one had all commits, and then was the only one to receive more.
+ */
+BOOST_AUTO_TEST_CASE(WaitsForAnUnlistedReplicaThatStillAnswers)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  AdvanceBy(1s);
+  members["b"].isListed = false;
+  ListAll();
+  AdvanceBy(5s);
+  for (const std::string id : { "a", "b" })
+    members[id].status.received = { 1, 120 };
+  members["a"].isReachable = false;
+  AdvanceBy(5s);
+  BOOST_TEST(promoted.empty());
+  members["b"].isListed = true;
+  ListAll();
+  AdvanceBy(3s);
+  BOOST_TEST(stored->primary == "b");
+}
+
+/**
+ * A database restarts without its log after it has replied. The former reply
+ * must not make it primary.
+ */
+BOOST_AUTO_TEST_CASE(ARestartDuringTheChoiceDiscardsTheReply)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  AdvanceBy(1s);
+  members["c"].isReachable = false;
+  members["a"].isReachable = false;
+  AdvanceBy(5s);
+  BOOST_TEST(promoted.empty());
+  members["b"].startedAt = 2;
+  members["b"].isReachable = false;
+  ListAll();
+  members["a"].isReachable = true;
+  members["a"].status.isPrimary = false;
+  AdvanceBy(5s);
+  BOOST_TEST(std::count(promoted.begin(), promoted.end(), "b") == 0);
+  BOOST_TEST(stored->primary == "a");
+}
+
 /**
  * Guards against a promotion that loses acknowledged commits because the
  * replica that had them has restarted empty, and replies.
--- a/Tests/LibPooler/TestFailoverDuty.cpp
+++ b/Tests/LibPooler/TestFailoverDuty.cpp
@@ -237,6 +237,33 @@
   BOOST_TEST(!databases.At("p").HasRun("step down"));
 }
 
+/**
+ * A database that is cut off from the platform's list may go on receiving
+ * commits. It must be found at its last address, but not be used.
+ */
+BOOST_FIXTURE_TEST_CASE(AnUnlistedDatabaseIsAskedAtItsLastAddress, Fixture)
+{
+  databases.Add("b", false);
+  Pooler::DatabaseList list;
+  list["b"].id = "b";
+  list["b"].group = "g";
+  duty.SetDatabases(list);
+  duty.SetDatabases({});
+  std::map<std::string, Authority::ProbeOutcome> unlisted;
+  for (const std::string id : { "b", "unknown" })
+    Port().ProbeUnlisted(id, 500ms, [&unlisted, id](const auto& aOutcome) {
+      unlisted[id] = aOutcome;
+    });
+  std::optional<Authority::ProbeOutcome> listed;
+  Port().Probe("b", 500ms, [&](const auto& aOutcome) { listed = aOutcome; });
+  AdvanceBy(1s);
+  BOOST_REQUIRE(unlisted.size() == 2);
+  BOOST_TEST(unlisted.at("b").status.has_value());
+  BOOST_TEST(!unlisted.at("unknown").status.has_value());
+  BOOST_REQUIRE(listed.has_value());
+  BOOST_TEST(!listed->status.has_value());
+}
+
 /**
  * A restored store lists databases that ended before, possibly at addresses
  * that others use by now. Taken for the later one, such an entry would have a
