LibAuthority: A leaving primary isn't replaced again and again

What callers would see: with synchronous replicas and one replica silent, a leaving primary that steps down and is promoted again for as long as it leaves, so that writes stop most of the time.

Cause: the check before the change compares with the last known position; the primary may have one more commit, not yet acknowledged, which the replica lacks and the silent one might have. Then only the old primary has all, and the next check began the same change.

Change: after a change has begun, a leaving primary is checked again 3 s later.

--- a/Libraries/LibAuthority/PrimaryMonitor.cpp
+++ b/Libraries/LibAuthority/PrimaryMonitor.cpp
@@ -32,6 +32,12 @@
  */
 constexpr Core::Duration kLeavingCheckInterval = std::chrono::milliseconds(200);
 
+/**
+ * The same after a change has begun. If the primary has to be kept, it serves
+ * for a while before the next try.
+ */
+constexpr Core::Duration kLeavingRetryInterval = std::chrono::seconds(3);
+
 } // namespace
 
 PrimaryMonitor::PrimaryMonitor(Core::Scheduler& aScheduler,
@@ -74,6 +80,7 @@
   RestartSilence();
   position_.reset();
   noSwitchoverBefore_ = scheduler_.Now() + kMinSwitchoverInterval;
+  nextLeavingCheck_ = Core::Instant::min();
   hasStayed_ = false;
   leavingSince_.reset();
 }
@@ -182,12 +189,14 @@
   }
   if (aOutcome.status) {
     const Sql::DatabaseStatus& status = *aOutcome.status;
-    if (status.isPrimary && status.term == group_.record->term) {
+    const bool leads = status.isPrimary && status.term == group_.record->term;
+    if (leads) {
       RestartSilence();
       position_ =
         std::max(position_.value_or(status.received), status.received);
-    } else if (HasEligibleCandidate() || !status.isPrimary)
+    } else if (HasEligibleCandidate() || !status.isPrimary) {
       onChange_("no_longer_primary", false);
+    }
     return;
   }
   if (aOutcome.isRefused && Silence() > kRefusalLimit && HasEligibleCandidate())
@@ -232,6 +241,7 @@
         if (!aOutcome.status || aOutcome.status->received < needed)
           return;
         noSwitchoverBefore_ = scheduler_.Now() + kMinSwitchoverInterval;
+        nextLeavingCheck_ = scheduler_.Now() + kLeavingRetryInterval;
         onChange_(aReason, true);
       }));
   }
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -5,9 +5,7 @@
 #include "SupervisorFixture.h"
 
 using namespace std::chrono_literals;
-using Authority::GroupRecord;
 using Fixture = Fakes::SupervisorFixture;
-using Fakes::Timing;
 
 namespace {
 
--- a/Tests/LibAuthority/TestSynchronousGroups.cpp
+++ b/Tests/LibAuthority/TestSynchronousGroups.cpp
@@ -270,6 +270,28 @@
   timer.reset();
 }
 
+/**
+ * Guards against a leaving primary that steps down and is promoted again all
+ * the time: its last commit isn't acknowledged, so that the replica which takes
+ * over seems to have all, and a silent one might have it.
+ */
+BOOST_AUTO_TEST_CASE(ALeavingPrimaryIsNotReplacedAgainAndAgain)
+{
+  supervisor.SetSyncReplicas(1);
+  Begin();
+  AdvanceBy(1s);
+  members["a"].status.received = { 1, 101 };
+  members["c"].isReachable = false;
+  leaving = "a";
+  ListAll();
+  const auto replies = time.Every(100ms, [this] {
+    supervisor.ReportPrimaryAlive({ time.Now(), { 1, 100 } });
+  });
+  AdvanceBy(6s);
+  BOOST_TEST(promoted.size() >= 1U);
+  BOOST_TEST(promoted.size() <= 2U);
+}
+
 /**
  * Guards against a promotion that loses acknowledged commits because a replica
  * that is only cut off from the platform's list was taken for gone while the
