LibAuthority: Health checks give no position to switchovers without synchronous replicas

A switchover of an overloaded primary needs that position, and the holder of the duty may have none from statements.

Change: the position of a health check counts with synchronous replicas only.

--- a/Libraries/LibAuthority/PrimaryMonitor.cpp
+++ b/Libraries/LibAuthority/PrimaryMonitor.cpp
@@ -192,8 +192,9 @@
     const bool leads = status.isPrimary && status.term == group_.record->term;
     if (leads) {
       RestartSilence();
-      position_ =
-        std::max(position_.value_or(status.received), status.received);
+      if (group_.KeepsAcknowledgedCommits())
+        position_ =
+          std::max(position_.value_or(status.received), status.received);
     } else if (HasEligibleCandidate() || !status.isPrimary) {
       onChange_("no_longer_primary", false);
     }
--- a/Tests/LibAuthority/TestGroupSupervisor.cpp
+++ b/Tests/LibAuthority/TestGroupSupervisor.cpp
@@ -232,6 +232,22 @@
   BOOST_TEST(promoted.empty());
 }
 
+/**
+ * Guards against switchovers that a group without synchronous replicas didn't
+ * have: the answers to health checks, which come now and then, don't show that
+ * the primary's log goes on growing, as those to statements do.
+ */
+BOOST_AUTO_TEST_CASE(SwitchesOverOnlyWithAPositionFromStatements)
+{
+  Begin();
+  isOverloaded = true;
+  AdvanceBy(5s);
+  BOOST_TEST(promoted.empty());
+  supervisor.ReportPrimaryAlive({ time.Now(), { 1, 100 } });
+  AdvanceBy(2s);
+  BOOST_TEST(promoted.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(LimitsHowOftenItSwitchesOver)
 {
   Begin();
