--- a/Libraries/LibAuthority/RowFollower.cpp
+++ b/Libraries/LibAuthority/RowFollower.cpp
@@ -78,7 +78,7 @@
     Retry(aReply, [this] { ReadSnapshot({}, {}); });
     return;
   }
-  ResetFailures();
+  OnSuccess(aReply);
   // Later pages may be newer than the first one. Following starts at the first
   // page's version, so that no change in between is missed.
   if (aRows.rows.empty())
@@ -172,7 +172,7 @@
   isFollowing_ = false;
   switch (aReply.answer) {
     case StoreStatus::Done:
-      ResetFailures();
+      OnSuccess(aReply);
       wasHistoryGone_ = false;
       Deliver({ false,
                 aReply.rows,
@@ -238,6 +238,15 @@
   failures_ = 0;
 }
 
+void
+RowFollower::OnSuccess(const StoreRows& aReply)
+{
+  ResetFailures();
+  if (aReply.receivedBytes >= kLargeResponseBytes)
+    ReportEvent(
+      FollowEventKind::LargeResponse, aReply.answer, aReply.receivedBytes);
+}
+
 void
 RowFollower::ReportEvent(FollowEventKind aKind,
                          StoreStatus aStatus,
--- a/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
+++ b/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
@@ -34,13 +34,16 @@
   HistoryGone,
   /** A request without a complete response was replaced by another one. */
   RequestReplaced,
+  /** A large response has arrived completely. */
+  LargeResponse,
 };
 
-inline constexpr Core::EnumNames<FollowEventKind, 4> kFollowEventNames{ {
+inline constexpr Core::EnumNames<FollowEventKind, 5> kFollowEventNames{ {
   { { FollowEventKind::Lost, "store_lost" },
     { FollowEventKind::Regained, "store_regained" },
     { FollowEventKind::HistoryGone, "store_history_gone" },
-    { FollowEventKind::RequestReplaced, "store_request_replaced" } },
+    { FollowEventKind::RequestReplaced, "store_request_replaced" },
+    { FollowEventKind::LargeResponse, "store_large_response" } },
 } };
 
 /** What happened to the requests for a table's rows, for logs and metrics. */
@@ -120,6 +123,9 @@
   /** Requests changes immediately, replacing a pending long poll or a pause. */
   void Refresh();
 
+  /** Responses from this size on are reported: they delay other traffic. */
+  static constexpr std::size_t kLargeResponseBytes = 65536;
+
   /** The polls that may follow changes promptly, after a quiet time. */
   static constexpr int kMaxPromptPolls = 4;
 
@@ -139,6 +145,8 @@
   /** Counts a failed request and runs aRetry after a back-off delay. */
   void Retry(const StoreRows& aReply, std::function<void()> aRetry);
   void ResetFailures();
+  /** Notes a complete response. */
+  void OnSuccess(const StoreRows& aReply);
   void ReportEvent(FollowEventKind aKind,
                    StoreStatus aStatus,
                    std::size_t aReceivedBytes);
--- a/Tests/LibAuthority/TestRowFollower.cpp
+++ b/Tests/LibAuthority/TestRowFollower.cpp
@@ -12,6 +12,7 @@
 using Authority::FollowedRows;
 using Authority::FollowEventKind;
 using Authority::PendingRequest;
+using Authority::RowFollower;
 using Authority::StoredRow;
 using Authority::StoreRows;
 using Authority::StoreStatus;
@@ -156,6 +157,7 @@
       if (row.version > aAfter)
         result.rows.push_back(row);
     }
+    result.receivedBytes = responseBytes;
     time.DeferFor(kOneWay, [aExchange] { aExchange->receivedBytes = 1; });
     time.DeferFor(kOneWay + transferTime, [aExchange, result, aDone] {
       if (!aExchange->isCancelled)
@@ -169,6 +171,8 @@
   std::size_t pageSize = 100;
   /** How long the rows of a response take to arrive after its first bytes. */
   Core::Duration transferTime{ 0 };
+  /** The size of each response with changes. */
+  std::size_t responseBytes = 0;
   bool receivesFromPeers = false;
   bool mustBePrompt = false;
   /** Requests for changes get no reply. */
@@ -382,6 +386,22 @@
   BOOST_TEST((events.back() == FollowEventKind::HistoryGone));
 }
 
+/** A large response delays other traffic, so the log must show it. */
+BOOST_AUTO_TEST_CASE(ReportsALargeResponse)
+{
+  follower.Start();
+  AdvanceBy(100ms);
+  responseBytes = RowFollower::kLargeResponseBytes - 1;
+  Put("a");
+  AdvanceBy(200ms);
+  BOOST_TEST(events.empty());
+  ++responseBytes;
+  Put("b");
+  AdvanceBy(200ms);
+  BOOST_TEST_REQUIRE(events.size() == 1U);
+  BOOST_TEST((events.front() == FollowEventKind::LargeResponse));
+}
+
 /**
  * A restored store has lower versions than before. A follower that kept its
  * higher version asked for changes after it, again and again, and missed those
