--- a/Tests/Platform/NodeFixture.h
+++ b/Tests/Platform/NodeFixture.h
@@ -165,10 +165,10 @@
   {
     const std::string address = "127.0.0.1:0";
     const std::string text =
-      "[node]\nname = " + aName +
-      "\ndata_centre = z\n[listen]\nclients = " + address +
-      "\nreadiness = " + address + "\nmetrics = " + address +
-      "\npeers = " + address + "\nrelay = " + address +
+      "[node]\nname = " + aName + "\ndata_centre = " + dataCentre +
+      "\n[listen]\nclients = " + address + "\nreadiness = " + address +
+      "\nmetrics = " + address + "\npeers = " + address +
+      "\nrelay = " + address +
       "\n[platform]\nstore = " + storeAddress.ToText() +
       "\npromotions = " + storeAddress.ToText() +
       "\n[authority]\nlease_ms = 3000\n" + otherSettings;
@@ -289,6 +289,8 @@
   int syncReplicas = 0;
   /** Further fields of configurations, after a comma. */
   std::string tenants;
+  /** The data centre of nodes that start from now on. */
+  std::string dataCentre = "z";
   /** Further sections of the settings of nodes that start from now on. */
   std::string otherSettings;
   StandInStore store;
--- a/Tests/Platform/SlowLink.cpp
+++ b/Tests/Platform/SlowLink.cpp
@@ -135,6 +135,14 @@
 
   const Wire::Address& ListenAddress() const { return address_; }
 
+  std::size_t SentBytes() const
+  {
+    ev_uint64_t read = 0;
+    ev_uint64_t written = 0;
+    bufferevent_rate_limit_group_get_totals(limit_, &read, &written);
+    return static_cast<std::size_t>(written);
+  }
+
 private:
   static void OnAccept(evconnlistener*,
                        evutil_socket_t aSocket,
@@ -175,4 +183,10 @@
   return link_->ListenAddress();
 }
 
+std::size_t
+SlowLink::SentBytes() const
+{
+  return link_->SentBytes();
+}
+
 } // namespace StandIns
--- a/Tests/Platform/SlowLink.h
+++ b/Tests/Platform/SlowLink.h
@@ -22,6 +22,9 @@
   /** The address to connect to instead of the server's. */
   const Wire::Address& ListenAddress() const;
 
+  /** Bytes that have been sent to the clients of all connections. */
+  std::size_t SentBytes() const;
+
 private:
   class Link;
   std::unique_ptr<Link> link_;
