LibPooler, LibPeers, platform: Nodes pass the configuration on to each other

What callers saw: in one of two regions, routes of a confirmed configuration were refused (404) or handled by an older version, and half of all requests were refused beside it.

Cause: every node read the whole row from the store for each change. With 3,000 routes that is 0.7 MB times 45 nodes over a link of 60 Mbit/s; leases, listings and heartbeats waited behind it, and the stall limit of 0.7 s ended transfers that were under way, which began again from nothing.

Change: one member in 24 of each data centre and the holder of the failover duty read the row from the store; the others ask them, get deltas to what they have, in parts that another peer can continue. A node whose source fails, lags behind or is slow asks others of its region, and the nodes turn to the store in cohorts that double. docs/design/configuration-distribution.md.

TestKeyWithdrawal: a node cut from the store now gets a configuration without a key from its peer. It therefore refuses that key as unknown and stays ready for the others, where it refused all keys before. The case asks for exactly that, on both nodes; that a node refuses all keys while a peer names a newer configuration stays in TestKeyGuard (TakesOverTheHoldersProof).

Cases with the reader ended, cut from the store, silent, behind or corrupting are in TestSharedLink, TestConfigurationFeed and TestConfigurationSources.

--- a/Libraries/LibAuthority/RowFollower.cpp
+++ b/Libraries/LibAuthority/RowFollower.cpp
@@ -91,6 +91,7 @@
     return;
   }
   aRows.isSnapshot = true;
+  aRows.isFromStore = aReply.isFromStore;
   Deliver(aRows);
   Follow(NextWait());
 }
@@ -177,7 +178,8 @@
       Deliver({ false,
                 aReply.rows,
                 std::max(version_, aReply.version),
-                aRequestedAt });
+                aRequestedAt,
+                aReply.isFromStore });
       if (aReply.rows.empty())
         Follow(NextWait());
       else
--- a/Libraries/LibAuthority/include/LibAuthority/ChangeFeed.h
+++ b/Libraries/LibAuthority/include/LibAuthority/ChangeFeed.h
@@ -45,6 +45,8 @@
   bool hasMore = false;
   /** Bytes of the response that arrived, even if the request failed. */
   std::size_t receivedBytes = 0;
+  /** False if another node passed the rows on, which may lag behind. */
+  bool isFromStore = true;
 };
 
 /**
--- a/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
+++ b/Libraries/LibAuthority/include/LibAuthority/RowFollower.h
@@ -22,6 +22,8 @@
   std::uint64_t version = 0;
   /** When the request was sent. */
   Core::Instant requestedAt;
+  /** False if another node passed the rows on, which may lag behind. */
+  bool isFromStore = true;
 };
 
 enum class FollowEventKind
--- a/Libraries/LibPeers/PeerServer.cpp
+++ b/Libraries/LibPeers/PeerServer.cpp
@@ -1,5 +1,6 @@
 #include <LibPeers/PeerServer.h>
 
+#include "ConfigurationJson.h"
 #include "HeartbeatJson.h"
 #include "RecordJson.h"
 #include "ShareJson.h"
@@ -64,6 +65,16 @@
   return records;
 }
 
+void
+RejectUnreadable(const Core::Findings& aFindings,
+                 const Wire::HttpReplyHandle& aReply)
+{
+  Core::LogChange("peer_message_unreadable",
+                  { { "findings", aFindings.ToText() } });
+  aReply->Send(Wire::HttpResponse::Error(Wire::HttpStatus::BadRequest,
+                                         aFindings.ToText()));
+}
+
 } // namespace
 
 PeerServer::PeerServer(Core::Loop& aLoop, Pooler::PeerHandler& aHandler)
@@ -95,16 +106,39 @@
         handler(reader, response);
       }
       if (!findings.IsEmpty()) {
-        Core::LogChange("peer_message_unreadable",
-                        { { "findings", findings.ToText() } });
-        aReply->Send(Wire::HttpResponse::Error(Wire::HttpStatus::BadRequest,
-                                               findings.ToText()));
+        RejectUnreadable(findings, aReply);
         return;
       }
       aReply->Send(Wire::HttpResponse::Json(Wire::HttpStatus::Ok, response));
     });
 }
 
+void
+PeerServer::Serve(Pooler::ConfigurationPublisher& aPublisher)
+{
+  server_.Route(Wire::HttpMethod::Post,
+                "/v1/configuration",
+                [&aPublisher](const Wire::HttpRequest& aRequest,
+                              const Wire::HttpReplyHandle& aReply) {
+                  Core::Findings findings;
+                  const auto body = Wire::ParseObject(aRequest.body, findings);
+                  Pooler::ConfigurationRequest request;
+                  if (body) {
+                    Wire::FieldReader reader(*body, findings);
+                    request = ReadConfigurationRequest(reader);
+                  }
+                  if (!findings.IsEmpty()) {
+                    RejectUnreadable(findings, aReply);
+                    return;
+                  }
+                  aPublisher.Answer(
+                    request, [aReply](const Pooler::ConfigurationPart& aPart) {
+                      aReply->Send(Wire::HttpResponse::Json(
+                        Wire::HttpStatus::Ok, ToJson(aPart)));
+                    });
+                });
+}
+
 void
 PeerServer::AddRoutes()
 {
--- a/Libraries/LibPeers/include/LibPeers/PeerServer.h
+++ b/Libraries/LibPeers/include/LibPeers/PeerServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibPooler/ConfigurationPublisher.h>
 #include <LibPooler/Peers.h>
 #include <LibWire/FieldReader.h>
 #include <LibWire/HttpServer.h>
@@ -16,6 +17,9 @@
   std::optional<Wire::Address> Listen(const Wire::Address& aAddress,
                                       Core::LastReason& aReason);
 
+  /** Also answers requests for the configuration; to be called once. */
+  void Serve(Pooler::ConfigurationPublisher& aPublisher);
+
 private:
   /** Reads the request's fields and adds fields to the response. */
   using RouteHandler =
--- a/Libraries/LibPooler/MemberRoster.cpp
+++ b/Libraries/LibPooler/MemberRoster.cpp
@@ -28,6 +28,7 @@
     { "name", aMember.name },
     { "incarnation", aMember.incarnation },
     { "data_centre", aMember.dataCentre },
+    { "region", aMember.region },
     { "address", aMember.addresses.peers.ToText() },
     { "relay", aMember.addresses.relay.ToText() },
     { "checkouts", aMember.addresses.checkouts.ToText() },
@@ -55,6 +56,9 @@
     member.name = fields.at("name").as_string();
     member.incarnation = fields.at("incarnation").as_string();
     member.dataCentre = fields.at("data_centre").as_string();
+    // Nodes of earlier releases don't write their region.
+    if (const boost::json::value* region = fields.if_contains("region"))
+      member.region = region->as_string();
     member.isExpelled = fields.at("expelled").as_bool();
     const auto peers = ReadAddress(fields, "address", aReason);
     const auto relay = ReadAddress(fields, "relay", aReason);
--- a/Libraries/LibPooler/include/LibPooler/Member.h
+++ b/Libraries/LibPooler/include/LibPooler/Member.h
@@ -25,6 +25,8 @@
   /** Distinguishes successive processes on the same VM. */
   std::string incarnation;
   std::string dataCentre;
+  /** The region of its data centre; empty if it isn't known. */
+  std::string region{};
   MemberAddresses addresses;
   /** Processor time available to it, in cores. */
   double processors = 1;
--- a/Libraries/LibPooler/include/LibPooler/Node.h
+++ b/Libraries/LibPooler/include/LibPooler/Node.h
@@ -117,6 +117,9 @@
   /** True while other nodes would notify this one of a change in the store. */
   bool IsNotifiedOfChanges() const;
   bool HoldsDuty() const { return duty_.Holds(); }
+  const std::string& MemberKey() const override { return memberKey_; }
+  /** The active members, this node included once it is registered. */
+  std::vector<Member> Members() const { return membership_.Roster().Present(); }
   const KeySettings& Keys() const { return keys_.Settings(); }
 
   /** True if this node can serve clients; reported by the readiness check. */
@@ -157,7 +160,6 @@
   Core::Duration CheckoutIdleTimeout() const override;
   Core::Duration CheckoutResponseTimeout() const override;
 
-  const std::string& MemberKey() const override { return memberKey_; }
   HeartbeatResponse OnHeartbeat(const Heartbeat& aHeartbeat) override;
   void OnRecord(const Authority::GroupRecord& aRecord) override;
   std::vector<RelayedRecord> RecordsFor(
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -102,6 +102,7 @@
   Pooler::NodeSettings result;
   result.self.name = aSettings.Text("node.name");
   result.self.dataCentre = aSettings.Text("node.data_centre");
+  result.self.region = aSettings.Text("node.region");
   result.self.incarnation = Core::Random::FromSystem().Hex(kIncarnationDigits);
   result.self.processors = aSettings.Decimal("node.processors");
   result.authorityLease.fenced =
@@ -170,14 +171,16 @@
   , store_(aLoop, aSettings.Address("platform.store"), metrics_)
   , promoter_(aLoop, aSettings.Address("platform.promotions"))
   , peerClient_(aLoop)
+  , configurationClient_(aLoop)
   , checkoutClient_(aLoop)
+  , publisher_(aLoop, metrics_)
   , node_(
       aLoop,
       ToNodeSettings(aSettings),
       { dialer_, store_, promoter_, peerClient_, relayTable_, checkoutClient_ },
       metrics_,
       Core::LogChange)
-  , feeds_(aLoop, store_, node_, metrics_)
+  , feeds_(aLoop, store_, configurationClient_, publisher_, node_, metrics_)
   , clientServer_(aLoop, node_, metrics_, ToClientLimits(aSettings))
   , peerServer_(aLoop, node_)
   , relayServer_(aLoop,
@@ -188,6 +191,7 @@
   , readinessServer_(aLoop)
   , metricsServer_(aLoop)
 {
+  peerServer_.Serve(publisher_);
   AddRoutes();
 }
 
--- a/Services/Node/NodeServer.h
+++ b/Services/Node/NodeServer.h
@@ -8,6 +8,7 @@
 
 #include <LibPeers/CheckoutClient.h>
 #include <LibPeers/CheckoutServer.h>
+#include <LibPeers/ConfigurationClient.h>
 #include <LibPeers/PeerClient.h>
 #include <LibPeers/PeerServer.h>
 #include <LibPeers/RelayServer.h>
@@ -51,7 +52,9 @@
   Adapter::StoreClient store_;
   Adapter::PromoteClient promoter_;
   Peers::PeerClient peerClient_;
+  Peers::ConfigurationClient configurationClient_;
   Peers::CheckoutClient checkoutClient_;
+  Pooler::ConfigurationPublisher publisher_;
   Pooler::Node node_;
   Adapter::PlatformFeeds feeds_;
   Adapter::ClientServer clientServer_;
--- a/Tests/Platform/TestKeyWithdrawal.cpp
+++ b/Tests/Platform/TestKeyWithdrawal.cpp
@@ -103,12 +103,15 @@
   Wait(500ms);
   SetKeys(3, R"("other")");
   BOOST_TEST(FirstRefusal(direct, kWithdrawal).starts_with("ERROR UNAUTH"));
-  // The cut node can't know which key is gone, so that it refuses all.
-  BOOST_TEST(FirstRefusal(cut, kWithdrawal).starts_with("ERROR BUSY"));
-  BOOST_TEST(ReadinessStatus(1) == 503);
-  Client& other = Connect(0, "shop", "other");
-  BOOST_REQUIRE(RunUntil([&] { return !other.lines.empty(); }));
-  BOOST_TEST(other.lines.front() == "READY I -");
+  // The cut node gets the configuration from the other one, so that it knows
+  // which key is gone, and serves the others.
+  BOOST_TEST(FirstRefusal(cut, kWithdrawal).starts_with("ERROR UNAUTH"));
+  BOOST_TEST(ReadinessStatus(1) == 200);
+  for (const std::size_t node : { 0U, 1U }) {
+    Client& other = Connect(node, "shop", "other");
+    BOOST_REQUIRE(RunUntil([&] { return !other.lines.empty(); }));
+    BOOST_TEST(other.lines.front() == "READY I -");
+  }
 }
 
 /** While the store is down, keys are refused; afterwards they are served. */
--- a/Tests/Platform/TestSharedLink.cpp
+++ b/Tests/Platform/TestSharedLink.cpp
@@ -4,6 +4,10 @@
 
 #include "NodeFixture.h"
 
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+
 using namespace std::chrono_literals;
 using StandIns::kDutyTimeout;
 
@@ -15,12 +19,38 @@
 /** The link from the store to the remote data centre, in bytes per second. */
 constexpr std::size_t kLinkRate = 400'000;
 
+constexpr std::size_t kUnlimitedRate = 1'000'000'000;
+
 constexpr std::size_t kRemoteNodes = 6;
 
 /** Routes of the large configuration: about 0.35 MB in the store's response. */
 constexpr int kRoutes = 1500;
 constexpr std::size_t kResponseBytes = 350'000;
 
+/** What happens to the node of the remote data centre that reads the store. */
+enum class ReaderFault
+{
+  Ended,
+  CutFromStore,
+};
+
+struct ReaderCase
+{
+  const char* name;
+  ReaderFault fault;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const ReaderCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const ReaderCase kReaderCases[] = {
+  { "ended", ReaderFault::Ended },
+  { "cut from the store", ReaderFault::CutFromStore },
+};
+
 /** Two nodes beside the store, others behind a link that they share. */
 class Fixture : public StandIns::NodeFixture
 {
@@ -31,16 +61,37 @@
     WaitFor(kDutyTimeout);
     const Wire::Address direct = storeAddress;
     link = std::make_unique<StandIns::SlowLink>(loop, direct, kLinkRate);
-    storeAddress = link->ListenAddress();
     dataCentre = "remote";
+    firstRemote = nodes.size();
+    reader = firstRemote + ReaderIndex();
+    readerLink = std::make_unique<StandIns::SlowLink>(
+      loop, link->ListenAddress(), kUnlimitedRate);
     for (std::size_t i = 0; i < kRemoteNodes; ++i) {
-      firstRemote = std::min(firstRemote, nodes.size());
-      nodes.push_back(StartNode("remote-" + std::to_string(i)));
+      const bool isReader = nodes.size() == reader;
+      storeAddress =
+        isReader ? readerLink->ListenAddress() : link->ListenAddress();
+      nodes.push_back(StartNode(NameOf(i)));
     }
     for (std::size_t node = firstRemote; node < nodes.size(); ++node)
       ConnectUntilServed(node);
   }
 
+  static std::string NameOf(std::size_t aIndex)
+  {
+    return "remote-" + std::to_string(aIndex);
+  }
+
+  /** Of VMs of one size, the one with the lowest hash reads the store. */
+  static std::size_t ReaderIndex()
+  {
+    std::size_t first = 0;
+    for (std::size_t i = 1; i < kRemoteNodes; ++i) {
+      if (Core::StableHash(NameOf(i)) < Core::StableHash(NameOf(first)))
+        first = i;
+    }
+    return first;
+  }
+
   void WaitFor(Core::Duration aTime)
   {
     const Core::Instant end = loop.Now() + aTime;
@@ -49,12 +100,18 @@
 
   void CheckInForce(const std::string& aDatabase, Core::Instant aConfirmedAt)
   {
-    for (std::size_t node = firstRemote; node < nodes.size(); ++node)
+    for (std::size_t node = firstRemote; node < nodes.size(); ++node) {
+      if (nodes[node] == nullptr)
+        continue;
       BOOST_TEST(ServesBefore(node, aDatabase, aConfirmedAt + kApplyBound),
                  "node " << node << " doesn't serve " << aDatabase);
+    }
   }
 
-  std::size_t firstRemote = SIZE_MAX;
+  std::size_t firstRemote = 0;
+  std::size_t reader = 0;
+  /** The reader's own way to the shared link. */
+  std::unique_ptr<StandIns::SlowLink> readerLink;
 };
 
 } // namespace
@@ -74,4 +131,19 @@
   BOOST_TEST(link->SentBytes() - before < 3 * kResponseBytes);
 }
 
+/**
+ * Guards against nodes that wait for the one that reads the store for them,
+ * although it has ended or doesn't reach the store.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       AConfigurationIsInForceAlthoughTheReaderFails,
+                       boost::unit_test::data::make(kReaderCases))
+{
+  if (sample.fault == ReaderFault::Ended)
+    nodes[reader].reset();
+  readerLink.reset();
+  Configure(2, "market");
+  CheckInForce("market", loop.Now());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
