LibPooler: A node knows its own earlier registration

What callers saw: a node that had been cut off and expelled answered BUSY to all its sessions until it was restarted.

Cause: the response to its registration was lost though the write was done. Each further write met that row as a conflict and kept the old version, for ever.

Change: after a conflict the node reads its row, is registered if the row holds what it writes, and else goes on from the version that it has read.

--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -78,25 +78,57 @@
                  if (!*alive)
                    return;
                  isRegistering_ = false;
-                 // No other process uses this key, so an existing row is an
-                 // earlier write of this process whose response was lost.
-                 const bool isStored =
-                   aOutcome.result == Authority::WriteResult::Applied ||
-                   (aOutcome.result == Authority::WriteResult::Conflict &&
-                    self_.version == 0);
-                 if (!isStored) {
-                   RetryRegistration();
-                   return;
+                 switch (aOutcome.result) {
+                   case Authority::WriteResult::Applied:
+                     OnRegistered(aOutcome.version);
+                     return;
+                   case Authority::WriteResult::Conflict:
+                     ReadSelf();
+                     return;
+                   case Authority::WriteResult::Refused:
+                   case Authority::WriteResult::Unknown:
+                     RetryRegistration();
                  }
-                 failedRegistrations_ = 0;
-                 self_.version = std::max(self_.version, aOutcome.version);
-                 registeredAt_ = scheduler_.Now();
-                 log_("registered", { { "member", self_.Key() } });
-                 if (const auto done = std::exchange(registered_, nullptr))
-                   done();
                });
 }
 
+void
+Membership::ReadSelf()
+{
+  isRegistering_ = true;
+  const Authority::StoredRow own = MemberRoster::RowOf(self_);
+  store_.Read(own.key,
+              [this, alive = alive_, own](
+                const std::optional<Authority::StoredRow>& aRow) {
+                if (!*alive)
+                  return;
+                isRegistering_ = false;
+                if (!aRow) {
+                  RetryRegistration();
+                  return;
+                }
+                // The row may be an earlier write of this process whose
+                // response was lost: no other process writes the same.
+                if (aRow->value == own.value) {
+                  OnRegistered(aRow->version);
+                  return;
+                }
+                self_.version = aRow->version;
+                RetryRegistration();
+              });
+}
+
+void
+Membership::OnRegistered(std::uint64_t aVersion)
+{
+  failedRegistrations_ = 0;
+  self_.version = aVersion;
+  registeredAt_ = scheduler_.Now();
+  log_("registered", { { "member", self_.Key() } });
+  if (const auto done = std::exchange(registered_, nullptr))
+    done();
+}
+
 void
 Membership::RetryRegistration()
 {
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -150,6 +150,9 @@
   };
 
   void WriteSelf();
+  /** Finds out who has written the own row, after a conflict. */
+  void ReadSelf();
+  void OnRegistered(std::uint64_t aVersion);
   void RetryRegistration();
   /** aContent is sent in the heartbeat, if one is due. */
   void MaintainMember(const Member& aMember, const Heartbeat& aContent);
--- a/Tests/LibPooler/TestMembership.cpp
+++ b/Tests/LibPooler/TestMembership.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE Membership
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "../Simulation/VirtualTime.h"
@@ -76,16 +77,39 @@
              std::function<void(WriteOutcome)> aDone) override
   {
     ++writes;
+    if (lostWrites > 0) {
+      --lostWrites;
+      LoseWrite(aRow, aDone);
+      return;
+    }
     Change(aRow, false, aDone);
   }
+  /** The writer gets no response, whether the write is done or not. */
+  void LoseWrite(const StoredRow& aRow,
+                 const std::function<void(WriteOutcome)>& aDone)
+  {
+    if (lostWriteDelay)
+      time.DeferFor(*lostWriteDelay, [this, aRow] {
+        Change(aRow, false, [](const WriteOutcome&) {});
+      });
+    time.DeferFor(700ms, [aDone] { aDone({ WriteResult::Unknown, 0 }); });
+  }
   void Remove(const StoredRow& aRow,
               std::function<void(WriteOutcome)> aDone) override
   {
     Change(aRow, true, aDone);
   }
-  void Read(const std::string&,
-            std::function<void(std::optional<StoredRow>)>) override
+  void Read(const std::string& aKey,
+            std::function<void(std::optional<StoredRow>)> aDone) override
   {
+    time.DeferFor(4ms, [this, aKey, aDone] {
+      if (isStoreDown) {
+        aDone(std::nullopt);
+        return;
+      }
+      const auto row = rows.find(aKey);
+      aDone(row == rows.end() ? StoredRow{ aKey, "", 0 } : row->second);
+    });
   }
   void Change(const StoredRow& aRow,
               bool aIsRemoval,
@@ -143,6 +167,10 @@
   std::map<std::string, StoredRow> rows;
   std::uint64_t version = 0;
   bool isStoreDown = false;
+  /** The number of next writes whose response is lost. */
+  int lostWrites = 0;
+  /** When such a write is done; none: never. */
+  std::optional<Core::Duration> lostWriteDelay;
   int writes = 0;
   int heartbeats = 0;
   bool holdsDuty = true;
@@ -196,6 +224,59 @@
   BOOST_TEST(!membership.Roster().Find("me#1")->isExpelled);
 }
 
+/** The fate of a registration whose response is lost. */
+struct LostRegistration
+{
+  const char* name;
+  std::optional<Core::Duration> doneAfter;
+  /** The holder of the failover duty has expelled the process once more. */
+  bool isExpelledAgain;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const LostRegistration& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const LostRegistration kLostRegistrations[] = {
+  { "done", 1ms, false },
+  { "not done", std::nullopt, false },
+  { "done late", 2s, false },
+  { "done, and overtaken by an expulsion", 1ms, true },
+};
+
+/**
+ * Guards against a process that never registers again. The response to its
+ * write is lost; its next ones meet what the first one has written.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       AnExpelledProcessRegistersAlthoughAResponseIsLost,
+                       boost::unit_test::data::make(kLostRegistrations))
+{
+  holdsDuty = false;
+  membership.Register([] {});
+  AdvanceBy(10ms);
+  ApplyRows();
+  Member expelled = MakeMember("me");
+  expelled.isExpelled = true;
+  AddMember(expelled);
+  lostWrites = 1;
+  lostWriteDelay = sample.doneAfter;
+  ApplyRows();
+  AdvanceBy(100ms);
+  if (sample.isExpelledAgain)
+    AddMember(expelled);
+  AdvanceBy(4s);
+  ApplyRows();
+  AdvanceBy(100ms);
+  BOOST_TEST(membership.CoversRequest(time.Now()));
+  BOOST_TEST(!membership.Roster().Find("me#1")->isExpelled);
+  writes = 0;
+  AdvanceBy(5s);
+  BOOST_TEST(writes == 0);
+}
+
 BOOST_AUTO_TEST_CASE(ASilentMemberIsExpelledAndRemovedOneLeaseLater)
 {
   AddMember(MakeMember("other"));
