--- a/Tests/LibPooler/TestConfigurationSources.cpp
+++ b/Tests/LibPooler/TestConfigurationSources.cpp
@@ -56,7 +56,7 @@
 }
 
 const FleetCase kFleets[] = {
-  { 1, 1 }, { 2, 1 }, { 5, 1 }, { 24, 1 }, { 25, 2 }, { 50, 3 },
+  { 1, 1 }, { 2, 1 }, { 5, 1 }, { 17, 1 }, { 24, 1 }, { 25, 2 }, { 50, 3 },
 };
 
 /** How many of a region's members would read the store at aNow. */
