LibPooler: Nodes without heartbeats rely on no single peer for the configuration

Cause: a reader that has silently lost the store answers that there is nothing newer. A follower that hears no heartbeats believes it, and a region of seven nodes gains nothing from readers.

Change: in a region of at most 10 members all read the store. In larger ones, four followers of a region read it while no heartbeat arrives, and the others ask their reader and other members in turn. A follower that reads the store returns to its peers after 0.5 s.

Evidence: TestConfigurationSources, UnnotifiedNodesRelyOnNoSinglePeer, and TestConfigurationFeed, AChangeArrivesAlthoughTheReaderFails ('cut from the store, unknown to all'): the code before has no such choice. TestSharedLink now has 12 nodes behind the link instead of 6, since 6 would all read the store, and waits for the heartbeats to reach them; the bound is unchanged.

--- a/Libraries/LibPooler/ConfigurationFeed.cpp
+++ b/Libraries/LibPooler/ConfigurationFeed.cpp
@@ -15,7 +15,7 @@
  * after the wait.
  */
 constexpr Core::Duration kLongWait = std::chrono::milliseconds(5000);
-constexpr Core::Duration kShortWait = std::chrono::milliseconds(1000);
+constexpr Core::Duration kShortWait = std::chrono::milliseconds(500);
 
 /** Far larger than the largest row of the store. */
 constexpr std::size_t kMaxContentBytes = std::size_t{ 16 } << 20U;
@@ -159,6 +159,8 @@
 std::optional<Member>
 ConfigurationFeed::ChooseSource()
 {
+  sources_.SetHoldsDuty(links_.holdsDuty());
+  sources_.SetNotified(links_.isNotified());
   std::optional<Member> source = sources_.Choose(scheduler_.Now());
   if (std::exchange(requiresStore_, false))
     source.reset();
@@ -213,9 +215,12 @@
     return FetchFromPeer(
       *source, std::min(aWait, limit), false, std::move(aDone));
   }
+  // A node that reads the store in place of others soon asks them again.
+  const Core::Duration wait =
+    sources_.IsReader() ? aWait : std::min(aWait, kShortWait);
   auto request = std::make_unique<Request>(*this);
   request->SetCall(links_.store.AwaitChanges(
-    aTable, aAfter, aWait, NoteOutcome(std::move(aDone))));
+    aTable, aAfter, wait, NoteOutcome(std::move(aDone))));
   return request;
 }
 
--- a/Libraries/LibPooler/ConfigurationSources.cpp
+++ b/Libraries/LibPooler/ConfigurationSources.cpp
@@ -44,8 +44,20 @@
 }
 
 std::size_t
-ReadersOf(const std::vector<Member>& aDataCentre)
+MembersOf(const DataCentres& aDataCentres)
 {
+  std::size_t count = 0;
+  for (const auto& [name, members] : aDataCentres)
+    count += members.size();
+  return count;
+}
+
+/** aRegionSize is the number of members in all data centres of its region. */
+std::size_t
+ReadersOf(const std::vector<Member>& aDataCentre, std::size_t aRegionSize)
+{
+  if (aRegionSize <= ConfigurationSources::kSmallRegion)
+    return aDataCentre.size();
   constexpr std::size_t kGroup = ConfigurationSources::kMembersPerReader;
   return (aDataCentre.size() + kGroup - 1) / kGroup;
 }
@@ -72,8 +84,9 @@
   rank_ = 0;
   const std::uint64_t hash = Core::StableHash(self->name);
   std::vector<Member> followers;
-  for (auto& [name, members] : DataCentresOf(aMembers, RegionOf(*self))) {
-    const std::size_t readers = ReadersOf(members);
+  const DataCentres region = DataCentresOf(aMembers, RegionOf(*self));
+  for (const auto& [name, members] : region) {
+    const std::size_t readers = ReadersOf(members, MembersOf(region));
     for (std::size_t i = 0; i < members.size(); ++i) {
       const bool isSelf = members[i].Key() == self_;
       if (isSelf)
@@ -198,11 +211,23 @@
   return wasPeerAsked_ ? NextOther(aNow) : std::nullopt;
 }
 
+std::optional<Member>
+ConfigurationSources::ChooseUnnotified(Core::Instant aNow)
+{
+  if (rank_ < kUnnotifiedCohort)
+    return ChooseWithStoreFirst(aNow);
+  wasReaderAsked_ = !wasReaderAsked_;
+  const auto reader = wasReaderAsked_ ? FirstReader(aNow) : std::nullopt;
+  return reader ? reader : NextOther(aNow);
+}
+
 std::optional<Member>
 ConfigurationSources::Choose(Core::Instant aNow)
 {
   if (IsReader())
     return ChooseWithStoreFirst(aNow);
+  if (!isNotified_)
+    return ChooseUnnotified(aNow);
   auto reader = FirstReader(aNow);
   // Peers without their reader must not wait for each other.
   if (!reader)
--- a/Libraries/LibPooler/include/LibPooler/ConfigurationFeed.h
+++ b/Libraries/LibPooler/include/LibPooler/ConfigurationFeed.h
@@ -22,6 +22,10 @@
   ConfigurationPeers& peers;
   /** Holds the row that this node has. */
   ConfigurationPublisher& publisher;
+  /** True while this node holds the failover duty. */
+  std::function<bool()> holdsDuty;
+  /** True while heartbeats tell this node of newer configurations. */
+  std::function<bool()> isNotified;
 };
 
 /**
--- a/Libraries/LibPooler/include/LibPooler/ConfigurationSources.h
+++ b/Libraries/LibPooler/include/LibPooler/ConfigurationSources.h
@@ -24,7 +24,9 @@
 class ConfigurationSources
 {
 public:
-  /** Members of a data centre for each that reads the store. */
+  /** In a region with no more members, all read the store. */
+  static constexpr std::size_t kSmallRegion = 10;
+  /** Members of a larger region's data centre for each that reads the store. */
   static constexpr std::size_t kMembersPerReader = 24;
   /** How long the first source may take to deliver a newer configuration. */
   static constexpr Core::Duration kPatience = std::chrono::milliseconds(800);
@@ -36,6 +38,8 @@
   /** The time between two cohorts that turn to the store. */
   static constexpr Core::Duration kCohortDelay = std::chrono::milliseconds(400);
   static constexpr std::size_t kFirstCohort = 2;
+  /** Nodes of a region that turn to the store while nobody notifies them. */
+  static constexpr std::size_t kUnnotifiedCohort = 4;
   /** How long a peer that failed isn't asked. */
   static constexpr Core::Duration kSuspicion = std::chrono::seconds(5);
 
@@ -46,6 +50,12 @@
   /** The holder of the failover duty reads the store, as all rely on it. */
   void SetHoldsDuty(bool aHolds) { holdsDuty_ = aHolds; }
 
+  /**
+   * Whether heartbeats tell this node of newer configurations. Without them it
+   * relies on no single peer, as that may lag behind without knowing it.
+   */
+  void SetNotified(bool aIsNotified) { isNotified_ = aIsNotified; }
+
   /** There is a newer configuration than this node's. */
   void OnNewerKnown(Core::Instant aNow);
   /** This node has the newest configuration that it knows of. */
@@ -67,6 +77,7 @@
   std::optional<Member> FirstReader(Core::Instant aNow) const;
   std::optional<Member> ChooseWithStoreFirst(Core::Instant aNow);
   std::optional<Member> ChooseOnceImpatient(Core::Instant aNow);
+  std::optional<Member> ChooseUnnotified(Core::Instant aNow);
   /** The next member that isn't suspected; none if all are. */
   std::optional<Member> NextOther(Core::Instant aNow);
   /** True if this node's cohort may turn to the store. */
@@ -75,6 +86,7 @@
   std::string self_;
   bool isReader_ = true;
   bool holdsDuty_ = false;
+  bool isNotified_ = false;
   /** The readers of the data centre, this node's own one first. */
   std::vector<Member> readers_;
   /** All other members of the region, those that read the store first. */
@@ -89,6 +101,8 @@
   std::size_t receivingBytes_ = 0;
   bool hasStoreFailed_ = false;
   bool wasPeerAsked_ = false;
+  /** While nobody notifies this node: whether its reader was asked last. */
+  bool wasReaderAsked_ = false;
 };
 
 } // namespace Pooler
--- a/Tests/LibPooler/TestConfigurationFeed.cpp
+++ b/Tests/LibPooler/TestConfigurationFeed.cpp
@@ -63,7 +63,10 @@
   std::size_t sentBytes = 0;
 };
 
-/** A follower in a data centre with one reader and one other node. */
+/** Followers beside this one; all of them act as the same fake peer. */
+constexpr int kOthers = 12;
+
+/** A follower in a data centre with one reader and other followers. */
 class Fixture
   : public Authority::ChangeFeed
   , public Pooler::ConfigurationPeers
@@ -74,7 +77,11 @@
     , other(time, metrics)
     , own(time, metrics)
     , feed(time,
-           { *this, *this, own },
+           { *this,
+             *this,
+             own,
+             [] { return false; },
+             [this] { return isNotified; } },
            "self#1",
            "config",
            metrics,
@@ -88,8 +95,10 @@
       result.processors = aProcessors;
       return result;
     };
-    feed.Sources().SetMembers(
-      { member("reader", 1), member("other", 0.1), member("self", 0.1) });
+    std::vector<Member> members{ member("reader", 1), member("self", 0.1) };
+    for (int i = 0; i < kOthers; ++i)
+      members.push_back(member("other-" + std::to_string(i), 0.1));
+    feed.Sources().SetMembers(members);
   }
   ~Fixture() override { time.Close(); }
 
@@ -176,6 +185,7 @@
   std::string storeValue = "{from the store}";
   std::uint64_t storeVersion = 99;
   int storeRequests = 0;
+  bool isNotified = true;
   std::unique_ptr<PendingRequest> pending;
 };
 
@@ -315,6 +325,7 @@
   { "frozen or cut off", true, false, true },
   { "frozen or cut off, unknown to all", true, false, false },
   { "cut from the store", false, true, true },
+  { "cut from the store, unknown to all", false, true, false },
 };
 
 /** Guards against a node that waits for its reader beyond the bound. */
@@ -328,9 +339,13 @@
   reader.isSilent = sample.isSilent;
   if (!sample.isBehind)
     reader.publisher.SetRow(11, "{b}");
+  other.publisher.SetRow(10, "{a}");
+  isNotified = sample.isNewerKnown;
   if (sample.isNewerKnown)
     feed.Sources().OnNewerKnown(time.Now());
   const Core::Instant begin = time.Now();
+  // Another node gets the row from the store.
+  time.DeferFor(1s, [this] { other.publisher.SetRow(11, "{b}"); });
   while (own.Version() == 10 && time.Now() - begin < 2 * kBound)
     Request(sample.isNewerKnown ? 0ms : 1000ms);
   BOOST_TEST((time.Now() - begin < kBound));
--- a/Tests/LibPooler/TestConfigurationSources.cpp
+++ b/Tests/LibPooler/TestConfigurationSources.cpp
@@ -39,6 +39,7 @@
 {
   ConfigurationSources sources(aSelf.Key());
   sources.SetMembers(aMembers);
+  sources.SetNotified(true);
   return sources;
 }
 
@@ -56,7 +57,8 @@
 }
 
 const FleetCase kFleets[] = {
-  { 1, 1 }, { 2, 1 }, { 5, 1 }, { 17, 1 }, { 24, 1 }, { 25, 2 }, { 50, 3 },
+  { 1, 1 },  { 2, 2 },  { 3, 3 },  { 4, 1 },  { 5, 1 },
+  { 17, 1 }, { 24, 1 }, { 25, 2 }, { 50, 3 },
 };
 
 /** How many of a region's members would read the store at aNow. */
@@ -123,6 +125,7 @@
   ConfigurationSources unknown("x#1");
   BOOST_TEST(!unknown.Choose(kStart).has_value());
   unknown.SetMembers(members);
+  unknown.SetNotified(true);
   BOOST_TEST(!unknown.Choose(kStart).has_value());
 }
 
@@ -169,6 +172,30 @@
   BOOST_TEST(Ask(kStart + 10s) == "dc0-vm0");
 }
 
+/**
+ * Guards against relying on a reader that has silently lost the store while
+ * nobody tells of newer configurations.
+ */
+BOOST_AUTO_TEST_CASE(UnnotifiedNodesRelyOnNoSinglePeer)
+{
+  const auto fleet = MakeMembers(50);
+  std::size_t storeReaders = 0;
+  for (const Member& member : fleet) {
+    ConfigurationSources sources = SourcesOf(member, fleet);
+    sources.SetNotified(false);
+    if (member.region != "even" || sources.IsReader())
+      continue;
+    std::set<std::string> asked;
+    for (int i = 0; i < 6; ++i) {
+      const auto source = sources.Choose(kStart);
+      asked.insert(source ? source->name : "store");
+    }
+    storeReaders += asked.contains("store") ? 1 : 0;
+    BOOST_TEST((asked.contains("store") || asked.size() >= 3U));
+  }
+  BOOST_TEST(storeReaders == ConfigurationSources::kUnnotifiedCohort);
+}
+
 /** Progress of the reader's own transfer is worth waiting for, to a limit. */
 BOOST_AUTO_TEST_CASE(AReaderThatIsReceivingIsAwaitedLonger)
 {
--- a/Tests/Platform/TestSharedLink.cpp
+++ b/Tests/Platform/TestSharedLink.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::size_t kUnlimitedRate = 1'000'000'000;
 
-constexpr std::size_t kRemoteNodes = 6;
+constexpr std::size_t kRemoteNodes = 12;
 
 /** Routes of the large configuration: about 0.35 MB in the store's response. */
 constexpr int kRoutes = 1500;
@@ -74,6 +74,9 @@
     }
     for (std::size_t node = firstRemote; node < nodes.size(); ++node)
       ConnectUntilServed(node);
+    // By then heartbeats reach the nodes, and the requests of the start are
+    // over.
+    WaitFor(1s);
   }
 
   static std::string NameOf(std::size_t aIndex)
