LibWire, LibPooler: No request is sent after its call's timeout

Cause: a promote call and STEPDOWN are made only if the duty is held for longer than their timeout. The timeout was a timer alone, and after a standstill the event loop handles the event of a new connection before the timers that have become due; the request was written then.

Change: HttpConnection compares the clock when a request's bytes are handed over for writing, and shuts the connection down after the timeout: outcome NotSent, logged as call_not_sent. All calls to the platform, the store and peers pass it. ControlLinks does the same for commands that waited for a connection to a database.

--- a/Libraries/LibPooler/ControlLinks.cpp
+++ b/Libraries/LibPooler/ControlLinks.cpp
@@ -16,6 +16,7 @@
   std::string id;
   Sql::DatabaseCommand command;
   Authority::SupervisorPort::ProbeHandler done;
+  Core::Instant deadline{};
   Core::TimerHandle timeout;
 };
 
@@ -64,6 +65,7 @@
   pending->id = aId;
   pending->command = aCommand;
   pending->done = std::move(aDone);
+  pending->deadline = scheduler_.Now() + aTimeout;
   pending->timeout =
     scheduler_.After(aTimeout, [this, weak = std::weak_ptr(pending)] {
       const auto expired = weak.lock();
@@ -145,7 +147,9 @@
 void
 ControlLinks::Send(const Pending& aPending)
 {
-  if (aPending->done == nullptr)
+  // After a standstill a connection's event precedes the due timer, which then
+  // ends the command.
+  if (aPending->done == nullptr || scheduler_.Now() >= aPending->deadline)
     return;
   links_.at(aPending->id)
     ->Send(aPending->command,
--- a/Libraries/LibPooler/include/LibPooler/ControlLinks.h
+++ b/Libraries/LibPooler/include/LibPooler/ControlLinks.h
@@ -23,8 +23,9 @@
   void SetDatabases(const DatabaseList& aDatabases);
 
   /**
-   * Sends a status or control command. The outcome holds the status that the
-   * database returns; it is empty after aTimeout or if aId isn't listed.
+   * Sends a status or control command within aTimeout or not at all. The
+   * outcome holds the status that the database returns; it is empty after
+   * aTimeout or if aId isn't listed.
    */
   void SendCommand(const std::string& aId,
                    const Sql::DatabaseCommand& aCommand,
--- a/Libraries/LibWire/HttpConnection.cpp
+++ b/Libraries/LibWire/HttpConnection.cpp
@@ -66,10 +66,11 @@
 {
   if (connection_ == nullptr)
     return;
+  bufferevent* events = evhttp_connection_get_bufferevent(connection_);
   inputObserver_ = evbuffer_add_cb(
-    bufferevent_get_input(evhttp_connection_get_bufferevent(connection_)),
-    &HttpConnection::OnInputChanged,
-    this);
+    bufferevent_get_input(events), &HttpConnection::OnInputChanged, this);
+  outputObserver_ = evbuffer_add_cb(
+    bufferevent_get_output(events), &HttpConnection::OnOutputChanged, this);
 }
 
 HttpConnection::~HttpConnection()
@@ -82,6 +83,7 @@
 {
   callback_ = std::move(aCallback);
   failedAfterConnect_ = false;
+  isTooLate_ = false;
   receivedBytes_ = 0;
   if (connection_ == nullptr) {
     timer_ = loop_.After(Core::Duration::zero(),
@@ -109,6 +111,7 @@
                  aCall.body.size());
   }
   deadline_ = loop_.Now() + aCall.timeout;
+  sendDeadline_ = deadline_;
   stallTimeout_ = aCall.stallTimeout;
   timer_ = loop_.After(aCall.timeout, [this] { CheckTimeout(); });
   if (evhttp_make_request(
@@ -138,6 +141,22 @@
     self->CheckTimeout();
 }
 
+void
+HttpConnection::OnOutputChanged(evbuffer*,
+                                const evbuffer_cb_info* aChange,
+                                void* aSelf)
+{
+  auto* self = static_cast<HttpConnection*>(aSelf);
+  if (aChange->n_added == 0 || self->loop_.Now() < self->sendDeadline_)
+    return;
+  // After a standstill the event of the connection precedes the due timer.
+  self->isTooLate_ = true;
+  Core::LogChange("call_not_sent", { { "address", self->address_.ToText() } });
+  ::shutdown(
+    bufferevent_getfd(evhttp_connection_get_bufferevent(self->connection_)),
+    SHUT_RDWR);
+}
+
 void
 HttpConnection::CheckTimeout()
 {
@@ -147,7 +166,7 @@
     return;
   }
   Discard();
-  Finish({ Delivery::TimedOut });
+  Finish({ isTooLate_ ? Delivery::NotSent : Delivery::TimedOut });
 }
 
 void
@@ -160,8 +179,9 @@
     aRequest != nullptr ? evhttp_request_get_response_code(aRequest) : 0;
   if (status == 0) {
     const bool refused = aRequest != nullptr && !self->failedAfterConnect_;
+    const bool isUnsent = refused || self->isTooLate_;
     self->Discard();
-    self->Finish({ refused ? Delivery::NotSent : Delivery::Lost });
+    self->Finish({ isUnsent ? Delivery::NotSent : Delivery::Lost });
     return;
   }
   HttpOutcome outcome;
@@ -215,13 +235,11 @@
 {
   if (connection_ == nullptr)
     return;
-  if (inputObserver_ != nullptr)
-    evbuffer_remove_cb_entry(
-      bufferevent_get_input(evhttp_connection_get_bufferevent(connection_)),
-      std::exchange(inputObserver_, nullptr));
+  bufferevent* events = evhttp_connection_get_bufferevent(connection_);
+  evbuffer_remove_cb_entry(bufferevent_get_input(events), inputObserver_);
+  evbuffer_remove_cb_entry(bufferevent_get_output(events), outputObserver_);
   if (IsBusy())
-    ResetOnClose(
-      bufferevent_getfd(evhttp_connection_get_bufferevent(connection_)));
+    ResetOnClose(bufferevent_getfd(events));
   const std::shared_ptr<evhttp_connection> connection(
     std::exchange(connection_, nullptr), &evhttp_connection_free);
   // libevent may be handling this connection further up the call stack, so the
--- a/Libraries/LibWire/include/LibWire/HttpConnection.h
+++ b/Libraries/LibWire/include/LibWire/HttpConnection.h
@@ -28,7 +28,10 @@
 {
   /** A complete response was received. */
   Answered,
-  /** No connection was established, so the server did not see the request. */
+  /**
+   * No connection was established in time, so the server did not see the
+   * request.
+   */
   NotSent,
   /** The connection failed after the request may have been sent. */
   Lost,
@@ -54,7 +57,10 @@
   std::string secret;
   /** Additional headers as name and value. */
   std::vector<std::pair<std::string, std::string>> headers;
-  /** The limit for the complete response, unless stallTimeout is set. */
+  /**
+   * The limit for the complete response, unless stallTimeout is set. The
+   * request is sent within this time or not at all.
+   */
   Core::Duration timeout{ 0 };
   /**
    * If set, `timeout` is the limit for the first byte of the response, and
@@ -118,20 +124,28 @@
   static void OnInputChanged(evbuffer* aInput,
                              const evbuffer_cb_info* aChange,
                              void* aSelf);
+  /** Keeps a request from being sent after its call has timed out. */
+  static void OnOutputChanged(evbuffer* aOutput,
+                              const evbuffer_cb_info* aChange,
+                              void* aSelf);
 
   Core::Loop& loop_;
   Address address_;
   std::string sender_;
   evhttp_connection* connection_;
-  /** Observes the bytes that arrive on connection_. */
+  /** Observe the bytes that arrive on connection_, and those to send. */
   evbuffer_cb_entry* inputObserver_ = nullptr;
+  evbuffer_cb_entry* outputObserver_ = nullptr;
   std::size_t receivedBytes_ = 0;
   /** When the call times out if no further part of the response arrives. */
   Core::Instant deadline_{};
+  Core::Instant sendDeadline_{};
   std::optional<Core::Duration> stallTimeout_;
   HttpCallback callback_;
   Core::TimerHandle timer_;
   bool failedAfterConnect_ = false;
+  /** The connection was established after sendDeadline_. */
+  bool isTooLate_ = false;
 };
 
 } // namespace Wire
--- a/Tests/LibWire/TestHttpConnection.cpp
+++ b/Tests/LibWire/TestHttpConnection.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <thread>
 #include <vector>
 
 using namespace Wire;
@@ -145,6 +146,67 @@
   ::close(listener);
 }
 
+/** When a process stands still beyond the limit of a call. */
+struct StandstillCase
+{
+  const char* name;
+  /** The connection is established already when the process goes on. */
+  bool isBeforeThePoll;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const StandstillCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const StandstillCase kStandstills[] = {
+  { "before it looks for events", true },
+  { "between the event of the connection and its handling", false },
+};
+
+/**
+ * Guards against a request that is sent after its call has timed out, because
+ * the process stood still while it connected: the promotion of a former holder
+ * of the duty, after that of its successor.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       NoRequestIsSentAfterItsTimeout,
+                       boost::unit_test::data::make(kStandstills))
+{
+  constexpr milliseconds kTimeout{ 50 };
+  const auto standStill = [kTimeout] {
+    std::this_thread::sleep_for(2 * kTimeout);
+  };
+  const auto [refusing, refusingAddress] = Listen();
+  ::close(refusing);
+  const auto [listener, address] = Listen();
+  // Its failure is handled in the same pass of the loop, before the event of
+  // the other connection.
+  HttpConnection refused(loop, refusingAddress, "");
+  HttpConnection connection(loop, address, "");
+  HttpCall call;
+  call.target = "/x";
+  call.timeout = kTimeout;
+  refused.Send(call, [&](const HttpOutcome&) {
+    if (!sample.isBeforeThePoll)
+      standStill();
+  });
+  Delivery delivery = Delivery::Answered;
+  connection.Send(
+    call, [&](const HttpOutcome& aOutcome) { delivery = aOutcome.delivery; });
+  if (sample.isBeforeThePoll)
+    standStill();
+  const auto end = loop.After(milliseconds(50), [this] { loop.Stop(); });
+  loop.Run();
+  const int accepted = ::accept(listener, nullptr, nullptr);
+  char byte = 0;
+  BOOST_TEST(::recv(accepted, &byte, 1, MSG_DONTWAIT) <= 0);
+  BOOST_CHECK(delivery == Delivery::NotSent);
+  ::close(accepted);
+  ::close(listener);
+}
+
 /** How a server sends a response of several parts, and what becomes of it. */
 struct SlowResponseCase
 {
