platform, LibWire: A stop waits until replies are delivered

Cause: a session counted as idle once its answer was in the write buffer. A stop closes idle sessions, a closing connection was freed after 500 ms whether or not everything was written, and the process ended at once.

Change: a client's connection is idle only once the kernel has taken all of its replies. A closing connection stays while its peer reads, for 10 s at most and until 500 ms without progress, and counts against the clients' bytes until then; the process doesn't end before, within the grace.

--- a/Libraries/LibWire/LineConnection.cpp
+++ b/Libraries/LibWire/LineConnection.cpp
@@ -25,9 +25,12 @@
 /** Reading pauses while the write buffer holds more than this. */
 constexpr std::size_t kMaxWriteBacklogBytes = 256UL * 1024;
 
-/** How long a closing connection stays open for its peer to read. */
+/** How long a closing connection stays open without its peer reading. */
 constexpr Core::Duration kLingerTimeout = std::chrono::milliseconds(500);
 
+/** How long a closing connection stays open for a peer that reads slowly. */
+constexpr Core::Duration kMaxLinger = std::chrono::seconds(10);
+
 /** TCP_USER_TIMEOUT: unacknowledged bytes abort the connection after this. */
 constexpr unsigned kUserTimeoutMilliseconds = 3000;
 
@@ -301,7 +304,7 @@
 
 void
 LineConnection::CloseAfterWriting(std::unique_ptr<LineConnection> aConnection,
-                                  std::shared_ptr<void> aCompanion)
+                                  const std::shared_ptr<void>& aCompanion)
 {
   const std::shared_ptr<LineConnection> connection(std::move(aConnection));
   connection->listener_ = nullptr;
@@ -309,10 +312,23 @@
   evbuffer* input = bufferevent_get_input(connection->events_);
   evbuffer_drain(input, evbuffer_get_length(input));
   bufferevent_enable(connection->events_, EV_READ | EV_WRITE);
-  if (evbuffer_get_length(bufferevent_get_output(connection->events_)) == 0)
+  if (connection->UnsentBytes() == 0)
     connection->ShutDownWriting();
-  connection->loop_.DeferFor(
-    kLingerTimeout, [connection, companion = std::move(aCompanion)] {});
+  Linger(connection, aCompanion, connection->loop_.Now() + kMaxLinger);
+}
+
+void
+LineConnection::Linger(const std::shared_ptr<LineConnection>& aConnection,
+                       const std::shared_ptr<void>& aCompanion,
+                       Core::Instant aDeadline)
+{
+  const std::size_t unsent = aConnection->UnsentBytes();
+  aConnection->loop_.DeferFor(
+    kLingerTimeout, [connection = aConnection, aCompanion, aDeadline, unsent] {
+      const bool hasProgress = connection->UnsentBytes() < unsent;
+      if (hasProgress && connection->loop_.Now() < aDeadline)
+        Linger(connection, aCompanion, aDeadline);
+    });
 }
 
 void
--- a/Libraries/LibWire/include/LibWire/LineConnection.h
+++ b/Libraries/LibWire/include/LibWire/LineConnection.h
@@ -89,12 +89,14 @@
 
   /**
    * Flushes the write buffer, half-closes the connection and closes it after a
-   * linger time. Until then, incoming bytes are read and dropped, so that the
-   * peer can read the last response. The listener receives no further events.
-   * aCompanion is destroyed when the connection is closed.
+   * linger time in which the peer has read nothing. Until then, incoming bytes
+   * are read and dropped, so that the peer can read the last response. The
+   * listener receives no further events. aCompanion is destroyed when the
+   * connection is closed.
    */
-  static void CloseAfterWriting(std::unique_ptr<LineConnection> aConnection,
-                                std::shared_ptr<void> aCompanion = nullptr);
+  static void CloseAfterWriting(
+    std::unique_ptr<LineConnection> aConnection,
+    const std::shared_ptr<void>& aCompanion = nullptr);
 
   /**
    * Closes the connection. The listener receives no further events. May be
@@ -111,6 +113,10 @@
   void OnDrained();
   void OnEvent(short aWhat);
   bool IsLingering() const { return listener_ == nullptr; }
+  /** Keeps a closing connection while its peer reads, until aDeadline. */
+  static void Linger(const std::shared_ptr<LineConnection>& aConnection,
+                     const std::shared_ptr<void>& aCompanion,
+                     Core::Instant aDeadline);
   void ShutDownWriting();
 
   Core::Loop& loop_;
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -277,8 +277,9 @@
     node_.RefuseNewWork();
     clientServer_.EndIdleTransactions();
   }
-  const bool isUsed =
-    clientServer_.Sessions() > 0 || checkoutServer_.ActiveChannels() > 0;
+  const bool isUsed = clientServer_.Sessions() > 0 ||
+                      clientServer_.IsDelivering() ||
+                      checkoutServer_.ActiveChannels() > 0;
   if (isUsed && elapsed < grace - kExitMargin)
     return;
   stopTimer_.reset();
--- a/Tests/LibWire/TestLineConnection.cpp
+++ b/Tests/LibWire/TestLineConnection.cpp
@@ -124,3 +124,54 @@
   BOOST_TEST(hasEnded);
   BOOST_TEST((reason == Wire::LineCloseReason::LineTooLong));
 }
+
+/** How a peer reads what is left to write when a connection closes. */
+struct SlowPeerCase
+{
+  const char* name;
+  std::size_t bytesPerRead;
+  bool receivesAll;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const SlowPeerCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const SlowPeerCase kSlowPeers[] = {
+  { "it reads for longer than the linger time", 100'000, true },
+  { "it doesn't read", 0, false },
+};
+
+/**
+ * Guards against replies that are cut off because their connection closes while
+ * they are being delivered. A peer that doesn't read can't hold it open.
+ */
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       AClosingConnectionDeliversWhatItHasWritten,
+                       data::make(kSlowPeers))
+{
+  constexpr std::size_t kSize = 3'000'000;
+  constexpr Core::Duration kReadInterval = 50ms;
+  connection->Write(std::string(kSize, 'x'));
+  bool isClosed = false;
+  Wire::LineConnection::CloseAfterWriting(
+    std::move(connection),
+    std::shared_ptr<void>(nullptr, [&isClosed](void*) { isClosed = true; }));
+  std::vector<char> buffer(kSize);
+  std::size_t received = 0;
+  const auto reader = loop.Every(kReadInterval, [&] {
+    const ssize_t size =
+      ::recv(sockets[1], buffer.data(), sample.bytesPerRead, 0);
+    if (size > 0)
+      received += static_cast<std::size_t>(size);
+    const bool isRead = size == 0 && sample.bytesPerRead > 0;
+    if (isRead || (isClosed && sample.bytesPerRead == 0))
+      loop.Stop();
+  });
+  const auto limit = loop.After(10s, [this] { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST((received == kSize) == sample.receivesAll);
+  BOOST_TEST((isClosed || sample.receivesAll));
+}
--- a/Tests/Platform/StandInDatabases.cpp
+++ b/Tests/Platform/StandInDatabases.cpp
@@ -167,8 +167,9 @@
       return;
     }
     Keep();
-    connection_->Write("DATAROW " + database_.ValueOf(std::string(aItem)) +
-                       "\r\n");
+    const std::string value = database_.ValueOf(std::string(aItem));
+    for (int i = 0; i < database_.rowsPerRead; ++i)
+      connection_->Write("DATAROW " + value + "\r\n");
     SendSuccess(Signature());
   }
 
--- a/Tests/Platform/StandInDatabases.h
+++ b/Tests/Platform/StandInDatabases.h
@@ -46,6 +46,8 @@
   Session::Term term = 1;
   /** The databases that receive every commit of this one. */
   std::vector<StandInDatabase*> replicas;
+  /** How many times a read returns the value, as rows of its own. */
+  int rowsPerRead = 1;
   /** Each executed client statement as "REQUEST-ID TEXT". */
   std::vector<std::string> executed;
   /** False in tests whose statements are many and large. */
