TestLeases: Renewals whose response was lost

Change: a table of cases (done, not done, done and then overtaken).

Evidence: the cases hold on the code as it is; the lease reads its row after a conflict. No fault was found.

--- a/Tests/LibAuthority/TestLeases.cpp
+++ b/Tests/LibAuthority/TestLeases.cpp
@@ -137,6 +137,54 @@
   BOOST_TEST(lease.Token() == 6U);
 }
 
+/** What the row holds after a renewal whose response was lost. */
+struct LostRenewalCase
+{
+  const char* name;
+  const char* holder;
+  std::uint64_t version;
+  /** Whether the holder goes on to hold the lease. */
+  bool isRenewed;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const LostRenewalCase& aCase)
+{
+  return aStream << aCase.name;
+}
+
+const LostRenewalCase kLostRenewals[] = {
+  { "it was done", "me", 9, true },
+  { "it wasn't done", "me", 5, true },
+  { "it was done, and then overtaken", "other", 11, false },
+};
+
+/** A renewal must not take an earlier one of its own for another holder's. */
+BOOST_DATA_TEST_CASE(RenewsAfterARenewalWhoseResponseWasLost,
+                     data::make(kLostRenewals))
+{
+  DutyLease lease = HeldLease();
+  const std::uint64_t token = lease.Token();
+  BOOST_REQUIRE(lease.NextWrite(kStart + 500ms).has_value());
+  lease.OnWritten({ WriteResult::Unknown, 0 }, kStart + 500ms);
+  auto row = lease.NextWrite(kStart + 1000ms);
+  BOOST_REQUIRE(row.has_value());
+  if (row->version != sample.version) {
+    lease.OnWritten({ WriteResult::Conflict, 0 }, kStart + 1000ms);
+    BOOST_TEST(!lease.NextWrite(kStart + 1001ms).has_value());
+    lease.Observe({ "lease/x", sample.holder, sample.version },
+                  kStart + 1010ms);
+    row = lease.NextWrite(kStart + 1010ms);
+  }
+  BOOST_REQUIRE(row.has_value() == sample.isRenewed);
+  if (sample.isRenewed) {
+    BOOST_TEST(row->version == sample.version);
+    lease.OnWritten({ WriteResult::Applied, 12 }, kStart + 1010ms);
+    BOOST_TEST(lease.Token() == token);
+  }
+  BOOST_TEST(lease.Holds(kStart + 2500ms) == sample.isRenewed);
+}
+
 BOOST_AUTO_TEST_CASE(ReleasedLeaseCanBeTakenImmediately)
 {
   DutyLease lease = HeldLease();
