TestSharedLink: A reader whose machine accepts connections but doesn't answer

Change: a third case: the reader's process is gone, and its address accepts connections that nobody answers. The stand-in store tells its rows' values.

Its bound is that of the other cases, 3 s.

--- a/Tests/Platform/StandInStore.cpp
+++ b/Tests/Platform/StandInStore.cpp
@@ -147,6 +147,20 @@
     silenced_.push_back(waiter.reply);
 }
 
+std::vector<std::string>
+StandInStore::Values(const std::string& aTable) const
+{
+  std::vector<std::string> values;
+  const auto table = tables_.find(aTable);
+  if (table == tables_.end())
+    return values;
+  for (const auto& [key, row] : table->second) {
+    if (!row.isRemoved)
+      values.push_back(row.value);
+  }
+  return values;
+}
+
 void
 StandInStore::DropHistory()
 {
--- a/Tests/Platform/StandInStore.h
+++ b/Tests/Platform/StandInStore.h
@@ -28,6 +28,8 @@
            const std::string& aKey,
            const std::string& aValue);
   void Remove(const std::string& aTable, const std::string& aKey);
+  /** The values of all rows of a table. */
+  std::vector<std::string> Values(const std::string& aTable) const;
   void OnPromote(PromoteHandler aHandler) { onPromote_ = std::move(aHandler); }
 
   /** Drops the history: requests for changes before now get status 410. */
--- a/Tests/Platform/TestSharedLink.cpp
+++ b/Tests/Platform/TestSharedLink.cpp
@@ -6,7 +6,10 @@
 
 #include <LibCore/Hash.h>
 
-#include <algorithm>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace std::chrono_literals;
 using StandIns::kDutyTimeout;
@@ -32,6 +35,8 @@
 {
   Ended,
   CutFromStore,
+  /** Its machine accepts connections, but the process answers nothing. */
+  Frozen,
 };
 
 struct ReaderCase
@@ -49,6 +54,33 @@
 const ReaderCase kReaderCases[] = {
   { "ended", ReaderFault::Ended },
   { "cut from the store", ReaderFault::CutFromStore },
+  { "frozen", ReaderFault::Frozen },
+};
+
+/** Listens on an address; the system accepts connections, nobody answers. */
+class SilentListener
+{
+public:
+  explicit SilentListener(const Wire::Address& aAddress)
+    : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    const int on = 1;
+    ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aAddress.port);
+    ::inet_pton(AF_INET, aAddress.host.c_str(), &address.sin_addr);
+    BOOST_REQUIRE(::bind(socket_,
+                         reinterpret_cast<sockaddr*>(&address),
+                         sizeof(address)) == 0);
+    BOOST_REQUIRE(::listen(socket_, SOMAXCONN) == 0);
+  }
+  ~SilentListener() { ::close(socket_); }
+  SilentListener(const SilentListener&) = delete;
+  SilentListener& operator=(const SilentListener&) = delete;
+
+private:
+  int socket_;
 };
 
 /** Two nodes beside the store, others behind a link that they share. */
@@ -95,6 +127,36 @@
     return first;
   }
 
+  /** The address at which the reader serves peers, by its row in the store. */
+  Wire::Address ReadersAddress() const
+  {
+    const std::string name = NameOf(reader - firstRemote);
+    for (const std::string& text :
+         store.Values(Adapter::StoreClient::kOwnTable)) {
+      const boost::json::value row = boost::json::parse(text);
+      const auto* other = row.as_object().if_contains("name");
+      if (other == nullptr || other->as_string() != name)
+        continue;
+      Core::LastReason reason;
+      const auto address =
+        Wire::Address::Parse(row.at("address").as_string(), reason);
+      BOOST_REQUIRE_MESSAGE(address, reason.Text());
+      return *address;
+    }
+    BOOST_FAIL("the reader isn't registered");
+    return {};
+  }
+
+  void FailReader(ReaderFault aFault)
+  {
+    const Wire::Address address = ReadersAddress();
+    if (aFault != ReaderFault::CutFromStore)
+      nodes[reader].reset();
+    readerLink.reset();
+    if (aFault == ReaderFault::Frozen)
+      silentReader = std::make_unique<SilentListener>(address);
+  }
+
   void WaitFor(Core::Duration aTime)
   {
     const Core::Instant end = loop.Now() + aTime;
@@ -115,6 +177,7 @@
   std::size_t reader = 0;
   /** The reader's own way to the shared link. */
   std::unique_ptr<StandIns::SlowLink> readerLink;
+  std::unique_ptr<SilentListener> silentReader;
 };
 
 } // namespace
@@ -136,15 +199,13 @@
 
 /**
  * Guards against nodes that wait for the one that reads the store for them,
- * although it has ended or doesn't reach the store.
+ * although it has ended, is frozen or doesn't reach the store.
  */
 BOOST_DATA_TEST_CASE_F(Fixture,
                        AConfigurationIsInForceAlthoughTheReaderFails,
                        boost::unit_test::data::make(kReaderCases))
 {
-  if (sample.fault == ReaderFault::Ended)
-    nodes[reader].reset();
-  readerLink.reset();
+  FailReader(sample.fault);
   Configure(2, "market");
   CheckInForce("market", loop.Now());
 }
