--- a/Tests/Platform/TestStoppingNode.cpp
+++ b/Tests/Platform/TestStoppingNode.cpp
@@ -1,5 +1,4 @@
-// What a stopping node owes clients that read slowly, with real processes'
-// connections on loopback.
+// What a stopping node owes clients that read slowly, over loopback.
 #define BOOST_TEST_MODULE StoppingNode
 #include "NodeFixture.h"
 
