LibPooler: A connection ends although a command has no reply

Callers saw nothing at first; a database that stops answering kept one of its connections taken by a node for as long as that process ran.

Cause: the callback of ConnectionPool::RunAndRelease kept the connection, which keeps its link, which keeps the callback until there is a reply. The pool ended this at the request's time limit, but not if it was destroyed before (a database that is listed again, the end of a node).

Change: the callback holds the connection weakly; the timer of the request alone keeps it, and lets it go at the time limit.

--- a/Libraries/LibPooler/ConnectionPool.cpp
+++ b/Libraries/LibPooler/ConnectionPool.cpp
@@ -391,16 +391,18 @@
 {
   const auto finish = [this,
                        alive = alive_,
-                       aConnection,
+                       weak = std::weak_ptr(aConnection),
                        isDone = std::make_shared<bool>(false),
                        done = std::move(aDone)](Sql::DatabaseReply aReply) {
-    if (std::exchange(*isDone, true) || !*alive)
+    const PooledConnectionHandle connection = weak.lock();
+    if (std::exchange(*isDone, true) || !*alive || connection == nullptr)
       return;
-    TakeBack(aConnection, true);
+    TakeBack(connection, true);
     done(std::move(aReply));
   };
+  // Only the timer keeps the connection: its own link keeps this callback.
   aConnection->Send(aCommand, finish);
-  scheduler_.DeferFor(aTimeout, [finish] { finish({}); });
+  scheduler_.DeferFor(aTimeout, [finish, aConnection] { finish({}); });
 }
 
 void
--- a/Tests/LibPooler/TestConnectionPool.cpp
+++ b/Tests/LibPooler/TestConnectionPool.cpp
@@ -214,6 +214,26 @@
   BOOST_TEST(pool.Open() == 0);
 }
 
+/**
+ * Guards against connections that stay open for ever: their pool went while the
+ * reply to a command of this node was outstanding.
+ */
+BOOST_FIXTURE_TEST_CASE(NoConnectionOutlivesItsPool, Fixture)
+{
+  auto former = std::make_unique<ConnectionPool>(time, databases, Listed());
+  PoolFixture::RequestConnection(*former, "a", { time.Now() + 200ms });
+  AdvanceBy(10ms);
+  databases.At("p").isUnreachable = true;
+  former->RunAndRelease(held.front(),
+                        { .kind = Sql::CommandKind::Status },
+                        300ms,
+                        [](const Sql::DatabaseReply&) {});
+  held.clear();
+  former.reset();
+  AdvanceBy(400ms);
+  BOOST_TEST(databases.At("p").connections == 0);
+}
+
 /** What the first of two users does before the second is looked at. */
 struct LearnedLimitCase
 {
