LibPooler: A position is requested again after its pool went

Cause: SampleRefresher noted a group as asked until the reply. A pool that is destroyed meanwhile calls nobody, so the group was never asked again. While the request waited for a connection, it kept the pool in which it waited, so that neither was ever freed.

Change: a request holds its pool weakly, and is outstanding only while the pool exists.

Evidence: TestSampleRefresher, which waits for a connection and for the reply.

--- a/Libraries/LibPooler/SampleRefresher.cpp
+++ b/Libraries/LibPooler/SampleRefresher.cpp
@@ -46,7 +46,7 @@
 SampleRefresher::Tick()
 {
   for (const auto& [name, router] : routers_) {
-    if (!IsFresh(*router) && !pendingGroups_.contains(name))
+    if (!IsFresh(*router) && !IsOutstanding(name))
       RefreshSample(*router);
   }
 }
@@ -60,45 +60,56 @@
   return newest && scheduler_.Now() - *newest < oldest;
 }
 
+bool
+SampleRefresher::IsOutstanding(const std::string& aGroup) const
+{
+  const auto request = outstanding_.find(aGroup);
+  return request != outstanding_.end() && !request->second.expired();
+}
+
 void
 SampleRefresher::RefreshSample(GroupRouter& aRouter)
 {
   const auto choice = aRouter.Choose({});
   if (!choice)
     return;
-  pendingGroups_.insert(aRouter.Name());
+  const std::weak_ptr<ConnectionPool> weak = choice->pool;
+  outstanding_[aRouter.Name()] = weak;
   ConnectionRequirements requirements{ scheduler_.Now() };
   requirements.fitsAnyCustomer = true;
   choice->pool->Acquire(
     std::move(requirements),
-    [this, &aRouter, choice = *choice](
+    [this, &aRouter, weak, term = choice->term](
       const PooledConnectionHandle& aConnection, PoolRefusal) {
+      const std::shared_ptr<ConnectionPool> pool = weak.lock();
+      const bool isConnected = pool != nullptr && aConnection != nullptr;
       // A connection that is checked out from another node may come with a
       // sample. No request is needed then.
-      if (aConnection != nullptr && !IsFresh(aRouter)) {
-        RequestPosition(aRouter, choice, aConnection);
+      if (isConnected && !IsFresh(aRouter)) {
+        RequestPosition(aRouter, *pool, term, aConnection);
         return;
       }
-      pendingGroups_.erase(aRouter.Name());
-      if (aConnection != nullptr)
-        choice.pool->Release(aConnection);
+      outstanding_.erase(aRouter.Name());
+      if (isConnected)
+        pool->Release(aConnection);
     });
 }
 
 void
 SampleRefresher::RequestPosition(GroupRouter& aRouter,
-                                 const RoutingChoice& aChoice,
+                                 ConnectionPool& aPool,
+                                 Session::Term aTerm,
                                  const PooledConnectionHandle& aConnection)
 {
   const Core::Instant sentAt = scheduler_.Now();
   const bool holds =
-    aRouter.Authority().HoldsFor(aChoice.pool->Info().id, aChoice.term, sentAt);
-  aChoice.pool->RunAndRelease(
+    aRouter.Authority().HoldsFor(aPool.Info().id, aTerm, sentAt);
+  aPool.RunAndRelease(
     aConnection,
     { .kind = Sql::CommandKind::Status },
     kStatusTimeout,
     [this, &aRouter, sentAt, holds](const Sql::DatabaseReply& aReply) {
-      pendingGroups_.erase(aRouter.Name());
+      outstanding_.erase(aRouter.Name());
       const auto status = dialer_.ReadStatus(aReply);
       if (holds && status && status->isPrimary)
         aRouter.AddSample(sentAt, status->received);
--- a/Libraries/LibPooler/include/LibPooler/SampleRefresher.h
+++ b/Libraries/LibPooler/include/LibPooler/SampleRefresher.h
@@ -2,6 +2,8 @@
 
 #include <LibPooler/GroupRouter.h>
 
+#include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -28,16 +30,22 @@
 private:
   void Tick();
   bool IsFresh(const GroupRouter& aRouter) const;
+  /** True while a request for the group's position may still be answered. */
+  bool IsOutstanding(const std::string& aGroup) const;
   void RefreshSample(GroupRouter& aRouter);
   void RequestPosition(GroupRouter& aRouter,
-                       const RoutingChoice& aChoice,
+                       ConnectionPool& aPool,
+                       Session::Term aTerm,
                        const PooledConnectionHandle& aConnection);
 
   Core::Scheduler& scheduler_;
   const Sql::DatabaseDialer& dialer_;
   const GroupRouters& routers_;
-  /** The groups with a request to the primary in progress. */
-  std::set<std::string> pendingGroups_;
+  /**
+   * The pool of the request to each group's primary. A pool that is destroyed
+   * leaves its requests unanswered.
+   */
+  std::map<std::string, std::weak_ptr<ConnectionPool>> outstanding_;
   /** The groups whose samples other nodes use. */
   std::set<std::string> shared_;
   Core::TimerHandle tick_;
