LibPooler: Entries of unknown groups don't show that a primary has ended

Cause: a later entry at a primary's last address proves that its process has ended; whose entry it was wasn't asked.

Change: only entries of groups known from the configuration or from the groups' records prove it.

Evidence: TestFailoverDuty, the case "a later one of an unknown group" failed before and passes now; that of another known group passed before and passes. The existing cases are as they were, the duty now knows their group.

--- a/Libraries/LibPooler/LastListings.cpp
+++ b/Libraries/LibPooler/LastListings.cpp
@@ -14,13 +14,15 @@
   for (auto& [id, listing] : listings_)
     listing.isListed = false;
   for (const auto& [id, database] : aDatabases)
-    listings_[id] = { { database.host, database.port },
-                      database.startedAt,
-                      true };
+    listings_[id] = {
+      database.group, { database.host, database.port }, database.startedAt, true
+    };
 }
 
 bool
-LastListings::HasEnded(const std::string& aId) const
+LastListings::HasEnded(
+  const std::string& aId,
+  const std::function<bool(const std::string&)>& aIsKnown) const
 {
   const auto known = listings_.find(aId);
   if (known == listings_.end())
@@ -33,7 +35,8 @@
       const Listing& other = aEntry.second;
       return other.isListed && aEntry.first != aId &&
              other.address == known->second.address &&
-             other.startedAt >= known->second.startedAt;
+             other.startedAt >= known->second.startedAt &&
+             aIsKnown(other.group);
     });
 }
 
--- a/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
+++ b/Libraries/LibPooler/include/LibPooler/FailoverDuty.h
@@ -163,7 +163,9 @@
                             Core::Duration aSilence) const override;
   bool HasEnded(const std::string& aId) const override
   {
-    return lastListings_.HasEnded(aId);
+    return lastListings_.HasEnded(aId, [this](const std::string& aGroup) {
+      return supervisors_.contains(aGroup);
+    });
   }
   bool IsOverloaded(const std::string& aGroup) const override;
   void Probe(const std::string& aId,
--- a/Libraries/LibPooler/include/LibPooler/LastListings.h
+++ b/Libraries/LibPooler/include/LibPooler/LastListings.h
@@ -3,6 +3,7 @@
 #include <LibPooler/Fleet.h>
 #include <LibWire/Address.h>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -22,13 +23,16 @@
 
   /**
    * True if a database's process is known to have ended: another one that
-   * started later is listed at its last address.
+   * started later is listed at its last address. Only databases of groups for
+   * which aIsKnown returns true count; other entries may be anybody's.
    */
-  bool HasEnded(const std::string& aId) const;
+  bool HasEnded(const std::string& aId,
+                const std::function<bool(const std::string&)>& aIsKnown) const;
 
 private:
   struct Listing
   {
+    std::string group;
     Wire::Address address;
     /** Database::startedAt. */
     std::int64_t startedAt = 0;
--- a/Tests/LibPooler/TestFailoverDuty.cpp
+++ b/Tests/LibPooler/TestFailoverDuty.cpp
@@ -138,6 +138,7 @@
 struct SharedAddressCase
 {
   const char* name;
+  std::string group;
   std::uint16_t port;
   std::int64_t startedAt;
   bool hasPrimaryEnded;
@@ -150,9 +151,11 @@
 }
 
 const SharedAddressCase kSharedAddresses[] = {
-  { "a later one at the same address", 9, 200, true },
-  { "an earlier one at the same address", 9, 50, false },
-  { "a later one at another address", 10, 200, false },
+  { "a later one at the same address", "g", 9, 200, true },
+  { "a later one of another group", "h", 9, 200, true },
+  { "a later one of an unknown group", "odd", 9, 200, false },
+  { "an earlier one at the same address", "g", 9, 50, false },
+  { "a later one at another address", "g", 10, 200, false },
 };
 
 /** When a member's row was read last, and when a change begins. */
@@ -265,9 +268,10 @@
 }
 
 /**
- * A restored store lists databases that ended before, possibly at addresses
- * that others use by now. Taken for the later one, such an entry would have a
- * working primary replaced without a fence.
+ * Guards against a working primary that is replaced without a fence because of
+ * an entry with its address. A restored store lists databases that ended
+ * before, possibly at addresses that others use by now; an entry of an unknown
+ * group is no database's.
  */
 BOOST_DATA_TEST_CASE_F(Fixture,
                        OnlyALaterDatabaseAtItsAddressShowsThatOneHasEnded,
@@ -282,8 +286,10 @@
                       .startedAt = 100 };
   list["other"] = list["primary"];
   list["other"].id = "other";
+  list["other"].group = sample.group;
   list["other"].port = sample.port;
   list["other"].startedAt = sample.startedAt;
+  duty.SetGroups({ { "g", {} }, { "h", {} } });
   duty.SetDatabases(list);
   BOOST_TEST(Port().HasEnded("primary") == sample.hasPrimaryEnded);
 }
