LibPooler, Node: Transactions at rest have half of a stop's grace

Cause: the check every 0.1 s brought the half forward by one interval.

Change: what a stopping node still does is decided by StopPhaseAt, a pure function of the time since the stop began. The other times are as before.

--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Log.h>
 #include <LibCore/Random.h>
+#include <LibPooler/StopPlan.h>
 
 #include <sys/resource.h>
 
@@ -9,20 +10,11 @@
 
 namespace {
 
-/**
- * The load balancer detects a stop after two readiness checks, one second
- * apart.
- */
-constexpr Core::Duration kBalancerDrainDelay = std::chrono::milliseconds(2200);
-
 /** How often a stopping node checks for remaining sessions and checkouts. */
 constexpr Core::Duration kStopCheckInterval = std::chrono::milliseconds(100);
 
-/**
- * Time reserved for exiting. The process must have exited before it is killed
- * at the end of the grace period.
- */
-constexpr Core::Duration kExitMargin = std::chrono::milliseconds(700);
+/** The longest time that leaving the members may take at an exit. */
+constexpr Core::Duration kLeaveLimit = std::chrono::milliseconds(350);
 
 /** Timeouts of a probe of a database and of the platform's promote call. */
 constexpr Core::Duration kProbeTimeout = std::chrono::milliseconds(500);
@@ -267,20 +259,19 @@
 {
   const Core::Duration grace =
     std::chrono::milliseconds(settings_.Integer("stop.grace_ms"));
-  const Core::Duration elapsed = loop_.Now() - stopBeganAt_;
-  if (elapsed < kBalancerDrainDelay)
+  const Pooler::StopPhase phase =
+    Pooler::StopPhaseAt(loop_.Now() - stopBeganAt_, grace);
+  if (phase == Pooler::StopPhase::AwaitingBalancer)
     return;
   clientServer_.CloseIdleSessions();
-  // Open transactions may finish during the first half of the grace period.
-  // Work that began in that half may finish during the second half.
-  if (elapsed > grace / 2 - kStopCheckInterval) {
+  if (phase >= Pooler::StopPhase::FinishingStatements) {
     node_.RefuseNewWork();
     clientServer_.EndIdleTransactions();
   }
   const bool isUsed = clientServer_.Sessions() > 0 ||
                       clientServer_.IsDelivering() ||
                       checkoutServer_.ActiveChannels() > 0;
-  if (isUsed && elapsed < grace - kExitMargin)
+  if (isUsed && phase != Pooler::StopPhase::Exiting)
     return;
   stopTimer_.reset();
   FinishStop();
@@ -298,5 +289,5 @@
   clientServer_.AbortRunningStatements();
   clientServer_.CloseAllSessions();
   node_.Leave([this] { loop_.Stop(); });
-  stopTimer_ = loop_.After(kExitMargin / 2, [this] { loop_.Stop(); });
+  stopTimer_ = loop_.After(kLeaveLimit, [this] { loop_.Stop(); });
 }
