LibPooler: A member that registers again is asked before it is expelled

What callers saw: a node that came back after more than 4 s answered BUSY to its sessions a second time, as it was expelled again at once.

Change: a registration after an expulsion counts as a sign of life.

Evidence: TestMembership, AMemberThatRegistersAgainIsAskedBeforeItIsExpelled failed before and passes now.

--- a/Libraries/LibPooler/Membership.cpp
+++ b/Libraries/LibPooler/Membership.cpp
@@ -274,9 +274,14 @@
       Remove(aMember);
     return;
   }
-  // It has registered again, and may have got authority since.
-  contact.expelledSince = Core::Instant::min();
-  if (now - contact.lastResponseAt > kExpulsionTimeout) {
+  if (contact.expelledSince != Core::Instant::min()) {
+    // It has registered again, and may have got authority since.
+    contact.expelledSince = Core::Instant::min();
+    contact.returnedAt = now;
+  }
+  const Core::Instant silentSince =
+    std::max(contact.lastResponseAt, contact.returnedAt);
+  if (now - silentSince > kExpulsionTimeout) {
     contact.lastResponseAt = now;
     Expel(aMember, "silent");
     return;
--- a/Libraries/LibPooler/include/LibPooler/Membership.h
+++ b/Libraries/LibPooler/include/LibPooler/Membership.h
@@ -141,6 +141,8 @@
     Core::Instant nextHeartbeatAt{};
     /** When the member was first seen as expelled; `min()` if it isn't. */
     Core::Instant expelledSince = Core::Instant::min();
+    /** When it was first seen to be registered again after an expulsion. */
+    Core::Instant returnedAt = Core::Instant::min();
     bool isRequestPending = false;
     /** The member's clock in its last response, sent back to it as the echo. */
     std::optional<Core::Instant> clock{};
--- a/Tests/LibPooler/MembershipFixture.h
+++ b/Tests/LibPooler/MembershipFixture.h
@@ -80,24 +80,30 @@
     ++writes;
     if (lostWrites > 0) {
       --lostWrites;
-      LoseWrite(aRow, aDone);
+      Lose(aRow, false, aDone);
       return;
     }
     Change(aRow, false, aDone);
   }
   /** The writer gets no response, whether the write is done or not. */
-  void LoseWrite(const StoredRow& aRow,
-                 const std::function<void(WriteOutcome)>& aDone)
+  void Lose(const StoredRow& aRow,
+            bool aIsRemoval,
+            const std::function<void(WriteOutcome)>& aDone)
   {
     if (lostWriteDelay)
-      time.DeferFor(*lostWriteDelay, [this, aRow] {
-        Change(aRow, false, [](const WriteOutcome&) {});
+      time.DeferFor(*lostWriteDelay, [this, aRow, aIsRemoval] {
+        Change(aRow, aIsRemoval, [](const WriteOutcome&) {});
       });
     time.DeferFor(700ms, [aDone] { aDone({ WriteResult::Unknown, 0 }); });
   }
   void Remove(const StoredRow& aRow,
               std::function<void(WriteOutcome)> aDone) override
   {
+    if (lostRemovals > 0) {
+      --lostRemovals;
+      Lose(aRow, true, aDone);
+      return;
+    }
     Change(aRow, true, aDone);
   }
   void Read(const std::string& aKey,
@@ -170,7 +176,8 @@
   bool isStoreDown = false;
   /** The number of next writes whose response is lost. */
   int lostWrites = 0;
-  /** When such a write is done; none: never. */
+  int lostRemovals = 0;
+  /** When such a write or removal is done; none: never. */
   std::optional<Core::Duration> lostWriteDelay;
   int writes = 0;
   int heartbeats = 0;
--- a/Tests/LibPooler/TestMembership.cpp
+++ b/Tests/LibPooler/TestMembership.cpp
@@ -52,6 +52,32 @@
   }
 }
 
+/**
+ * Guards against a member that comes back after a long silence, and is expelled
+ * at once again, before it has been asked.
+ */
+BOOST_AUTO_TEST_CASE(AMemberThatRegistersAgainIsAskedBeforeItIsExpelled)
+{
+  AddMember(MakeMember("other"));
+  deliveries["other#1"] = PeerDelivery::Silent;
+  ApplyRows();
+  AdvanceBy(4500ms);
+  ApplyRows();
+  BOOST_REQUIRE(membership.Roster().Find("other#1")->isExpelled);
+  AdvanceBy(6s);
+  AddMember(MakeMember("other"));
+  deliveries["other#1"] = PeerDelivery::Answered;
+  ApplyRows();
+  AdvanceBy(2s);
+  ApplyRows();
+  BOOST_TEST(!membership.Roster().Find("other#1")->isExpelled);
+  // If it is silent again, it is expelled as at first.
+  deliveries["other#1"] = PeerDelivery::Silent;
+  AdvanceBy(4500ms);
+  ApplyRows();
+  BOOST_TEST(membership.Roster().Find("other#1")->isExpelled);
+}
+
 BOOST_AUTO_TEST_CASE(AMemberReplacedByAnotherProcessIsRemovedAtOnce)
 {
   AddMember(MakeMember("other"));
