LibWire, platform: What databases answer stays within the VM's memory

Cause: what clients send and leave unread counts against a bound, what databases send didn't.

Change: of an answer longer than one client's connection may hold nothing is kept, and the statement fails with TOOLARGE at the answer's end; it isn't asked for again. Unfinished answers count against the bound of what is held for clients: beyond it only the one that has come the furthest is read, the others wait with the database (ReadGate).

Ordinary clients are served meanwhile.

--- a/Libraries/LibPooler/StatementRules.cpp
+++ b/Libraries/LibPooler/StatementRules.cpp
@@ -53,6 +53,7 @@
       return Reaction::AwaitPrimary;
     case ErrorCode::Timeout:
     case ErrorCode::Malformed:
+    case ErrorCode::TooLarge:
       return Reaction::Report;
     default:
       return Reaction::RetryLater;
--- a/Libraries/LibSettings/NodeSettingsTable.cpp
+++ b/Libraries/LibSettings/NodeSettingsTable.cpp
@@ -218,15 +218,16 @@
       1,
       50,
       "25",
-      "The part of the memory that may be held for clients." },
+      "The part of the memory that may be held for clients; their unfinished "
+      "answers count as well." },
     { "limits.connection_kb",
       SettingType::Integer,
       "KB",
       8192,
       kMaxKilobytes,
       "12288",
-      "What may be held for one client's connection; at most half of what all "
-      "may." },
+      "What may be held for one client's connection, and the longest answer of "
+      "a database; at most half of what all may." },
     { "limits.session_kb",
       SettingType::Integer,
       "KB",
--- a/Services/Node/NodeServer.cpp
+++ b/Services/Node/NodeServer.cpp
@@ -159,7 +159,13 @@
   : loop_(aLoop)
   , settings_(aSettings)
   , relayTable_(aLoop)
-  , dialer_(aLoop, relayTable_)
+  , answers_(
+      std::make_shared<Wire::ReadGate>(aLoop,
+                                       ToClientLimits(aSettings).allBytes))
+  , dialer_(aLoop,
+            relayTable_,
+            answers_,
+            ToClientLimits(aSettings).connectionBytes)
   , store_(aLoop, aSettings.Address("platform.store"), metrics_)
   , promoter_(aLoop, aSettings.Address("platform.promotions"))
   , peerClient_(aLoop)
@@ -183,6 +189,7 @@
   , readinessServer_(aLoop)
   , metricsServer_(aLoop)
 {
+  answers_->CountAlso(clientServer_.Budget());
   peerServer_.Serve(publisher_);
   AddRoutes();
 }
@@ -209,6 +216,8 @@
                    static_cast<std::int64_t>(clientServer_.Sessions()));
       metrics_.Set("clients_held_bytes",
                    static_cast<std::int64_t>(clientServer_.HeldBytes()));
+      metrics_.Set("answers_held_bytes",
+                   static_cast<std::int64_t>(answers_->Held()));
       Wire::HttpResponse response;
       response.status = static_cast<int>(Wire::HttpStatus::Ok);
       response.contentType = "text/plain";
--- a/Services/Node/NodeServer.h
+++ b/Services/Node/NodeServer.h
@@ -48,6 +48,7 @@
   Settings::ProcessSettings settings_;
   Metrics::Registry metrics_;
   Pooler::RelayTable relayTable_;
+  std::shared_ptr<Wire::ReadGate> answers_;
   Adapter::LineDialer dialer_;
   Adapter::StoreClient store_;
   Adapter::PromoteClient promoter_;
--- a/Tests/Crowds/Cluster.cpp
+++ b/Tests/Crowds/Cluster.cpp
@@ -9,6 +9,10 @@
 /** Transactions that rest longer than this are rolled back by the node. */
 constexpr int kTransactionIdleMilliseconds = 1000;
 
+/** Reads of "large" and "huge" return as many rows; see Cluster. */
+constexpr int kLargeRows = 10;
+constexpr int kHugeRows = 180;
+
 /** How often the stand-ins' thread looks whether it should end. */
 constexpr Core::Duration kStopCheck = std::chrono::milliseconds(50);
 
@@ -43,6 +47,7 @@
 {
   auto database = std::make_unique<StandIns::StandInDatabase>(loop_, "g1", aId);
   database->keepsExecuted = false;
+  database->rowsOfItem = { { "large", kLargeRows }, { "huge", kHugeRows } };
   const std::string address = database->Start().ToText();
   store_.Put("servers",
              aId,
--- a/Tests/Crowds/Cluster.h
+++ b/Tests/Crowds/Cluster.h
@@ -12,7 +12,8 @@
 
 /**
  * A store and a group of three databases that run on a thread of their own, so
- * that the test's thread can play clients against a node process.
+ * that the test's thread can play clients against a node process. Reads of the
+ * items "large" and "huge" return many rows: 10 and 180 times the value.
  */
 class Cluster
 {
--- a/Tests/Crowds/TestCrowds.cpp
+++ b/Tests/Crowds/TestCrowds.cpp
@@ -164,6 +164,25 @@
     [] { return kStartup + Repeat("QUERY q FETCH big\r\n", 20'000); } },
 };
 
+/** Rows are half a mebibyte each. */
+const CrowdCase kLargeAnswers[] = {
+  { "of 5 MiB, to many clients",
+    20,
+    kOnePiece,
+    Reading::Everything,
+    [] { return kStartup + Repeat("QUERY q FETCH large\r\n", 3); } },
+  { "of 5 MiB, nothing read",
+    20,
+    kOnePiece,
+    Reading::None,
+    [] { return kStartup + Repeat("QUERY q FETCH large\r\n", 3); } },
+  { "of 90 MiB",
+    2,
+    kOnePiece,
+    Reading::Everything,
+    [] { return kStartup + "QUERY q FETCH huge\r\n"; } },
+};
+
 const CrowdCase kSlowClients[] = {
   { "sending a byte at a time",
     200,
@@ -228,8 +247,11 @@
   {
     BOOST_REQUIRE(
       Crowds::IsServedInTheEnd(node.ClientAddress(), "STORE warm up"));
-    BOOST_REQUIRE(Crowds::IsServedInTheEnd(
-      node.ClientAddress(), "STORE big " + std::string(kMebibyte / 2, 'y')));
+    for (const std::string item : { "big", "large", "huge" }) {
+      BOOST_REQUIRE(Crowds::IsServedInTheEnd(
+        node.ClientAddress(),
+        "STORE " + item + ' ' + std::string(kMebibyte / 2, 'y')));
+    }
   }
 
   /** The limits of the VM, as the platform fills them in. */
@@ -313,6 +335,20 @@
   CheckCrowd(aCase);
 }
 
+/**
+ * Guards against a node that holds more than its VM has, as what databases
+ * answer comes faster than the clients take it, or is larger than anything.
+ */
+BOOST_DATA_TEST_CASE(AnswersOfManyRows, data::make(kLargeAnswers), aCase)
+{
+  Fixture fixture(0);
+  fixture.Play(aCase);
+  const Wire::Address& address = fixture.node.ClientAddress();
+  BOOST_TEST(Crowds::IsServedInTheEnd(address, "FETCH large"));
+  BOOST_TEST(!Crowds::IsServed(address, "FETCH huge"));
+  fixture.CheckBounds(kManyDescriptors);
+}
+
 BOOST_DATA_TEST_CASE(SlowClients, data::make(kSlowClients), aCase)
 {
   CheckCrowd(aCase);
--- a/Tests/LibPooler/TestStatementRules.cpp
+++ b/Tests/LibPooler/TestStatementRules.cpp
@@ -92,6 +92,7 @@
   { "a write that failed", kWrite, ErrorCode::Failed, Reaction::Report },
   { "a write that timed out", kWrite, ErrorCode::Timeout, Reaction::Report },
   { "a read that timed out", kRead, ErrorCode::Timeout, Reaction::Report },
+  { "a read that is too large", kRead, ErrorCode::TooLarge, Reaction::Report },
   { "an unknown code, write", kWrite, ErrorCode::Other, Reaction::Report },
   { "a malformed statement", kRead, ErrorCode::Malformed, Reaction::Report },
 };
--- a/Tests/Platform/StandInDatabases.cpp
+++ b/Tests/Platform/StandInDatabases.cpp
@@ -168,7 +168,10 @@
     }
     Keep();
     const std::string value = database_.ValueOf(std::string(aItem));
-    for (int i = 0; i < database_.rowsPerRead; ++i)
+    const auto known = database_.rowsOfItem.find(std::string(aItem));
+    const int rows = known == database_.rowsOfItem.end() ? database_.rowsPerRead
+                                                         : known->second;
+    for (int i = 0; i < rows; ++i)
       connection_->Write("DATAROW " + value + "\r\n");
     SendSuccess(Signature());
   }
--- a/Tests/Platform/StandInDatabases.h
+++ b/Tests/Platform/StandInDatabases.h
@@ -48,6 +48,8 @@
   std::vector<StandInDatabase*> replicas;
   /** How many times a read returns the value, as rows of its own. */
   int rowsPerRead = 1;
+  /** The same by item, where it differs. */
+  std::map<std::string, int> rowsOfItem;
   /** Each executed client statement as "REQUEST-ID TEXT". */
   std::vector<std::string> executed;
   /** False in tests whose statements are many and large. */
--- a/Tests/Platform/TestDatabaseCodec.cpp
+++ b/Tests/Platform/TestDatabaseCodec.cpp
@@ -133,6 +133,36 @@
   BOOST_TEST(reader.Take().IsSuccess());
 }
 
+/**
+ * Guards against answers that a node collects whole although no client could be
+ * sent them, until its memory has run out.
+ */
+BOOST_AUTO_TEST_CASE(AnAnswerBeyondItsLimitIsAnErrorAndIsNotKept)
+{
+  constexpr std::size_t kMostBytes = 10'000;
+  ReplyReader reader(kMostBytes);
+  const std::string row = "DATAROW " + std::string(1000, 'x');
+  for (int i = 0; i < 50; ++i) {
+    BOOST_CHECK(reader.AddLine(row) == ReplyReader::Progress::NeedsMore);
+    BOOST_TEST(reader.HeldBytes() <= kMostBytes);
+  }
+  BOOST_TEST(reader.HeldBytes() == 0U);
+  reader.AddLine("COMPLETE 7.1f");
+  BOOST_CHECK(reader.AddLine("READY T 3.12") ==
+              ReplyReader::Progress::Complete);
+  const Sql::DatabaseReply reply = reader.Take();
+  BOOST_TEST(reply.isComplete);
+  BOOST_TEST(reply.rows.empty());
+  BOOST_REQUIRE(reply.error.has_value());
+  BOOST_CHECK(reply.error->code == Sql::ErrorCode::TooLarge);
+  BOOST_CHECK(reply.state == Sql::TransactionState::Open);
+  // The next answer on the connection is whole.
+  reader.AddLine(row);
+  reader.AddLine("COMPLETE 7.1f");
+  reader.AddLine("READY I -");
+  BOOST_TEST(reader.Take().IsSuccess());
+}
+
 BOOST_AUTO_TEST_CASE(RejectsRowsAfterTheResult)
 {
   ReplyReader reader;
