TestSharedLink: A reader that froze when a part of its answer was sent

Frozen before its answer was tested; frozen in the middle of it only with fakes.

The case's stand-in sends the head and the first 1,000 bytes of a long answer on each connection.

--- a/Tests/Platform/TestSharedLink.cpp
+++ b/Tests/Platform/TestSharedLink.cpp
@@ -37,6 +37,8 @@
   CutFromStore,
   /** Its machine accepts connections, but the process answers nothing. */
   Frozen,
+  /** The same, but it froze when a part of its answer was sent. */
+  FrozenInAnAnswer,
 };
 
 struct ReaderCase
@@ -55,14 +57,24 @@
   { "ended", ReaderFault::Ended },
   { "cut from the store", ReaderFault::CutFromStore },
   { "frozen", ReaderFault::Frozen },
+  { "frozen in an answer", ReaderFault::FrozenInAnAnswer },
 };
 
-/** Listens on an address; the system accepts connections, nobody answers. */
+/** The first part of an answer that is far longer. */
+const std::string kPartOfAnswer =
+  "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kResponseBytes) +
+  "\r\n\r\n" + std::string(1000, 'x');
+
+/**
+ * Listens on an address; the system accepts connections, nobody answers. With a
+ * loop, each connection receives the first part of an answer.
+ */
 class SilentListener
 {
 public:
-  explicit SilentListener(const Wire::Address& aAddress)
-    : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+  explicit SilentListener(const Wire::Address& aAddress,
+                          Core::Loop* aLoop = nullptr)
+    : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
   {
     const int on = 1;
     ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -74,13 +86,33 @@
                          reinterpret_cast<sockaddr*>(&address),
                          sizeof(address)) == 0);
     BOOST_REQUIRE(::listen(socket_, SOMAXCONN) == 0);
+    if (aLoop != nullptr)
+      timer_ = aLoop->Every(5ms, [this] { AcceptOne(); });
+  }
+  ~SilentListener()
+  {
+    for (const int client : clients_)
+      ::close(client);
+    ::close(socket_);
   }
-  ~SilentListener() { ::close(socket_); }
+  std::size_t Answers() const { return clients_.size(); }
   SilentListener(const SilentListener&) = delete;
   SilentListener& operator=(const SilentListener&) = delete;
 
 private:
+  void AcceptOne()
+  {
+    const int client = ::accept(socket_, nullptr, nullptr);
+    if (client < 0)
+      return;
+    clients_.push_back(client);
+    (void)::send(
+      client, kPartOfAnswer.data(), kPartOfAnswer.size(), MSG_NOSIGNAL);
+  }
+
   int socket_;
+  std::vector<int> clients_;
+  Core::TimerHandle timer_;
 };
 
 /** Two nodes beside the store, others behind a link that they share. */
@@ -155,6 +187,8 @@
     readerLink.reset();
     if (aFault == ReaderFault::Frozen)
       silentReader = std::make_unique<SilentListener>(address);
+    if (aFault == ReaderFault::FrozenInAnAnswer)
+      silentReader = std::make_unique<SilentListener>(address, &loop);
   }
 
   void WaitFor(Core::Duration aTime)
@@ -208,6 +242,8 @@
   FailReader(sample.fault);
   Configure(2, "market");
   CheckInForce("market", loop.Now());
+  BOOST_TEST((sample.fault != ReaderFault::FrozenInAnAnswer ||
+              silentReader->Answers() > 0));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
