LibAuthority: A lease's row with an odd basis counts as held

Callers saw nothing of this so far: a row of the duty's lease without a holder and with an unreadable basis let the next node take the duty at once, beside a holder that may have written it.

Cause: a basis that can't be read became 0, which is valid in a store that was never restored. All other odd rows already counted as held.

Change: such a row counts as odd as a whole, so that a lease has to pass.

--- a/Libraries/LibAuthority/DutyLease.cpp
+++ b/Libraries/LibAuthority/DutyLease.cpp
@@ -41,7 +41,7 @@
     return { aText };
   LeaseContent content{ std::string(holder->as_string()) };
   content.basis = basis->to_number<std::uint64_t>(error);
-  return content;
+  return error ? LeaseContent{ aText } : content;
 }
 
 } // namespace
