TestStoppingNode: Owners that stop let transactions of others end

Three nodes, two of which own the connections; a client of each node in turn has a transaction open while both other nodes are stopped. It writes and commits 2.5 s later, and writes again after they have gone.

--- a/Tests/Platform/TestStoppingNode.cpp
+++ b/Tests/Platform/TestStoppingNode.cpp
@@ -1,5 +1,9 @@
-// What a stopping node owes clients that read slowly, over loopback.
+// What a stopping node owes clients that read slowly, and clients of other
+// nodes that use its connections, over loopback.
 #define BOOST_TEST_MODULE StoppingNode
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
 #include "NodeFixture.h"
 
 #include <arpa/inet.h>
@@ -105,8 +109,58 @@
   }
 };
 
+/** The number of nodes, two of which own the connections to databases. */
+constexpr std::size_t kSharingNodes = 3;
+
+/** Nodes that together may open two connections to each database. */
+struct SharingFixture : public NodeFixture
+{
+  SharingFixture()
+  {
+    maxConnections = 4;
+    Configure(2, "shop");
+    nodes.push_back(StartNode("n3"));
+  }
+
+  /** The loop also stops when a node has stopped. */
+  void WaitFor(Core::Duration aTime)
+  {
+    const Core::Instant end = loop.Now() + aTime;
+    while (loop.Now() < end)
+      RunUntil([&] { return loop.Now() >= end; });
+  }
+};
+
 } // namespace
 
+/**
+ * Guards against transactions that end with the node which owns the connection,
+ * when that node is stopped and the client's isn't.
+ */
+BOOST_DATA_TEST_CASE_F(SharingFixture,
+                       StoppingOwnersLetTransactionsOfOthersEnd,
+                       boost::unit_test::data::xrange(kSharingNodes))
+{
+  WaitFor(kDutyTimeout);
+  for (std::size_t node = 0; node < kSharingNodes; ++node)
+    ConnectUntilServed(node);
+  // All have written, so the third node has used another's connection. One more
+  // connection is the duty's.
+  BOOST_TEST(databases.at("i-a")->Connections() <= 3);
+  Client& client = ConnectUntilServed(sample);
+  BOOST_REQUIRE(Query(client, "BEGIN").starts_with("COMPLETE"));
+  BOOST_REQUIRE(Query(client, "STORE k v").starts_with("COMPLETE"));
+  for (std::size_t node = 0; node < kSharingNodes; ++node) {
+    if (node != sample)
+      nodes[node]->Stop();
+  }
+  WaitFor(2500ms);
+  BOOST_TEST(Query(client, "STORE k w").starts_with("COMPLETE"));
+  BOOST_TEST(Query(client, "COMMIT").starts_with("COMPLETE signed-i-a"));
+  WaitFor(kDutyTimeout);
+  BOOST_TEST(Query(client, "STORE k x").starts_with("COMPLETE signed-i-a"));
+}
+
 /**
  * Guards against answers that end half-way at a planned stop: the session looks
  * idle as soon as the answer is in the node's buffer, long before the client
