LibPeers: An answer too long for a borrower is an error

What users saw: a read whose answer exceeds 8 MiB failed with BUSY after some attempts at a node that uses another node's connections, and cost the owners the whole answer each time.

Cause: the owner passes an answer on as one message of any length, the borrower closes its channel at its longest line.

Change: the owner sends the error TOOLARGE instead, which isn't asked for again; state and position are kept.

Evidence: TestCheckoutMessages, ALongerReplyThanABorrowerReadsIsAnError failed before and passes now. By unit test only, not between real nodes.

--- a/Libraries/LibPeers/CheckoutMessages.cpp
+++ b/Libraries/LibPeers/CheckoutMessages.cpp
@@ -336,7 +336,16 @@
 std::string
 EncodeFromOwner(const MessageFromOwner& aMessage)
 {
-  return ToLine(aMessage);
+  std::string line = ToLine(aMessage);
+  const auto* reply = std::get_if<Sql::DatabaseReply>(&aMessage);
+  if (reply == nullptr || line.size() <= kMaxCheckoutLineBytes)
+    return line;
+  Sql::DatabaseReply refusal;
+  refusal.isComplete = reply->isComplete;
+  refusal.state = reply->state;
+  refusal.position = reply->position;
+  refusal.error = { Sql::ErrorCode::TooLarge, "the answer is too large" };
+  return ToLine(MessageFromOwner(std::move(refusal)));
 }
 
 std::optional<MessageToOwner>
--- a/Libraries/LibPeers/CheckoutMessages.h
+++ b/Libraries/LibPeers/CheckoutMessages.h
@@ -31,6 +31,7 @@
 /** Encodes a message as a JSON object on one line, terminated by CRLF. */
 std::string
 EncodeToOwner(const MessageToOwner& aMessage);
+/** The same; a reply beyond kMaxCheckoutLineBytes becomes an error. */
 std::string
 EncodeFromOwner(const MessageFromOwner& aMessage);
 
--- a/Tests/LibPeers/TestCheckoutMessages.cpp
+++ b/Tests/LibPeers/TestCheckoutMessages.cpp
@@ -158,6 +158,31 @@
   BOOST_TEST(!RoundTripFromOwner(Sql::DatabaseReply{}).isComplete);
 }
 
+/**
+ * Guards against answers that end the channel to the owner, and are asked for
+ * again at others, because they exceed what the borrower reads.
+ */
+BOOST_AUTO_TEST_CASE(ALongerReplyThanABorrowerReadsIsAnError)
+{
+  Sql::DatabaseReply reply;
+  reply.isComplete = true;
+  reply.state = Sql::TransactionState::Open;
+  reply.signature = "s";
+  reply.position = Session::LogPosition{ 3, 1209 };
+  reply.rows.assign(9, std::string(1'000'000, 'x'));
+  BOOST_TEST(Peers::EncodeFromOwner(reply).size() <=
+             Peers::kMaxCheckoutLineBytes);
+  const auto read = RoundTripFromOwner(reply);
+  BOOST_TEST(read.isComplete);
+  BOOST_TEST(read.rows.empty());
+  BOOST_REQUIRE(read.error.has_value());
+  BOOST_CHECK(read.error->code == Sql::ErrorCode::TooLarge);
+  BOOST_CHECK(read.state == Sql::TransactionState::Open);
+  BOOST_TEST((read.position == reply.position));
+  reply.rows.resize(7);
+  BOOST_TEST(RoundTripFromOwner(reply).IsSuccess());
+}
+
 BOOST_AUTO_TEST_CASE(GrantRefusalAndWaitingRoundTripUnchanged)
 {
   const auto grant =
