TestCrowds: A node process never gets one port twice

The node process was never served within the time limit.

Likely cause: the test looked for six free ports one after the other and gave each back before the next, so that the system may return one twice. A node with one address twice ends at once with "can't listen" (tried). That this was the cause in the failed run wasn't shown, as the process's output is discarded.

Change: the ports are held until all six are taken; the check's message says whether the process still runs. No check is weaker.

--- a/Tests/Crowds/NodeProcess.cpp
+++ b/Tests/Crowds/NodeProcess.cpp
@@ -16,39 +16,51 @@
 #include <iterator>
 #include <stdexcept>
 #include <system_error>
+#include <vector>
 
 namespace Crowds {
 
 namespace {
 
-/** An address of loopback that was free a moment ago. */
-Wire::Address
-FreeAddress()
+/** Free addresses of loopback, kept until all have been taken. */
+class FreeAddresses
 {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const int result =
-    ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-  if (result != 0)
-    throw std::system_error(errno, std::generic_category(), "bind");
-  socklen_t size = sizeof address;
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
-  return { "127.0.0.1", ntohs(address.sin_port) };
-}
+public:
+  FreeAddresses() = default;
+  ~FreeAddresses()
+  {
+    for (const int socket : sockets_)
+      ::close(socket);
+  }
+  FreeAddresses(const FreeAddresses&) = delete;
+  FreeAddresses& operator=(const FreeAddresses&) = delete;
+
+  /** Returns another address at each call. */
+  Wire::Address Take()
+  {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockets_.push_back(socket);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int result =
+      ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    if (result != 0)
+      throw std::system_error(errno, std::generic_category(), "bind");
+    socklen_t size = sizeof address;
+    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    return { "127.0.0.1", ntohs(address.sin_port) };
+  }
+
+private:
+  std::vector<int> sockets_;
+};
 
 } // namespace
 
 NodeProcess::NodeProcess(const Options& aOptions)
-  : clientAddress_(FreeAddress())
-  , readinessAddress_(FreeAddress())
-  , metricsAddress_(FreeAddress())
-  , peerAddress_(FreeAddress())
-  , relayAddress_(FreeAddress())
-  , checkoutAddress_(FreeAddress())
 {
+  TakeAddresses();
   WriteSettings(aOptions);
   Spawn(aOptions.descriptors);
 }
@@ -62,6 +74,19 @@
   std::filesystem::remove(settingsFile_);
 }
 
+void
+NodeProcess::TakeAddresses()
+{
+  FreeAddresses free;
+  for (Wire::Address* address : { &clientAddress_,
+                                  &readinessAddress_,
+                                  &metricsAddress_,
+                                  &peerAddress_,
+                                  &relayAddress_,
+                                  &checkoutAddress_ })
+    *address = free.Take();
+}
+
 void
 NodeProcess::WriteSettings(const Options& aOptions)
 {
--- a/Tests/Crowds/NodeProcess.h
+++ b/Tests/Crowds/NodeProcess.h
@@ -42,6 +42,7 @@
   std::size_t OpenDescriptors() const;
 
 private:
+  void TakeAddresses();
   void WriteSettings(const Options& aOptions);
   void Spawn(std::size_t aDescriptors);
   std::size_t StatusField(const std::string& aName) const;
--- a/Tests/Crowds/TestCrowds.cpp
+++ b/Tests/Crowds/TestCrowds.cpp
@@ -245,8 +245,11 @@
     : node(
         { cluster.StoreAddress(), LimitSettings(aDescriptors), aDescriptors })
   {
-    BOOST_REQUIRE(
-      Crowds::IsServedInTheEnd(node.ClientAddress(), "STORE warm up"));
+    const bool isServed =
+      Crowds::IsServedInTheEnd(node.ClientAddress(), "STORE warm up");
+    BOOST_REQUIRE_MESSAGE(isServed,
+                          "not served; the node "
+                            << (node.IsAlive() ? "runs" : "has ended"));
     for (const std::string item : { "big", "large", "huge" }) {
       BOOST_REQUIRE(Crowds::IsServedInTheEnd(
         node.ClientAddress(),
